--- a/lilacridge/rules.py
+++ b/martentide/rules.py
@@ -1,4 +1,4 @@
-"""Every admission decision of a border proxy. The types it speaks are in ``lilacridge/interface.py``.
+"""Every admission decision of a border proxy. The types it speaks are in ``martentide/interface.py``.
 
 The ordinary path, from "The IN SCP's overload protection mechanism": per core server a gap image (bound rate
 u, expiry), made or refreshed by each pressure report. First set-ups above u are refused before sending, a
@@ -14,7 +14,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from lilacridge.interface import (
+from martentide.interface import (
     Action, AttemptEnded, CallClass, CallerGone, CancelAttempt, Ending, Event, Fail, FollowList, ListKind,
     PeerMessage, Probe, ProbeEnded, Refuse, Repeat, Report, ReportBy, SendSetUp, ServerEntry, ServerList,
     ServerState, SetTimer, Settings, SetUpOffered, Stands, TellPeer, TimerDue,
--- a/lilacridge/simhost.py
+++ b/martentide/simhost.py
@@ -1,6 +1,6 @@
 """The simulator's wire: reads batches, hosts one Controller per border proxy, writes the replies.
 
-It translates and never chooses; every decision is in ``lilacridge/rules.py``.
+It translates and never chooses; every decision is in ``martentide/rules.py``.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any, TextIO
 
-from lilacridge.interface import (
+from martentide.interface import (
     Action,
     AttemptEnded,
     CallClass,
@@ -41,7 +41,7 @@
     Tenant,
     TimerDue,
 )
-from lilacridge.rules import Controller
+from martentide.rules import Controller
 
 
 class WireError(Exception):
@@ -373,10 +373,10 @@
     try:
         serve(sys.stdin, sys.stdout)
     except WireError as error:
-        print(f"lilacridge: {error}", file=sys.stderr)
+        print(f"martentide: {error}", file=sys.stderr)
         return 1
     except Exception as error:
-        print(f"lilacridge: the decisions failed: {error!r}", file=sys.stderr)
+        print(f"martentide: the decisions failed: {error!r}", file=sys.stderr)
         return 1
     return 0
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from lilacridge.interface import (
+from martentide.interface import (
     Action,
     AttemptEnded,
     CallClass,
@@ -27,7 +27,7 @@
     Stands,
     TimerDue,
 )
-from lilacridge.rules import Controller
+from martentide.rules import Controller
 
 SETTINGS = Settings(
     proxies=6,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from lilacridge import rules
-from lilacridge.interface import (
+from martentide import rules
+from martentide.interface import (
     Ending,
     Event,
     ListKind,
@@ -26,7 +26,7 @@
     TellPeer,
     TimerDue,
 )
-from lilacridge.rules import Controller
+from martentide.rules import Controller
 from tests.support import SETTINGS, Bench, entry, sends
 
 WARM = 4
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lilacridge.interface import (
+from martentide.interface import (
     Action,
     CallerGone,
     CancelAttempt,
@@ -24,7 +24,7 @@
     ServerState,
     TellPeer,
 )
-from lilacridge.rules import TICK
+from martentide.rules import TICK
 from tests.support import SETTINGS, Bench, entry
 
 NAMES = ("s0", "s1", "s2")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from lilacridge import rules
-from lilacridge.interface import (
+from martentide import rules
+from martentide.interface import (
     AttemptEnded,
     CallClass,
     CallerGone,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from lilacridge.interface import (
+from martentide.interface import (
     Action,
     AttemptEnded,
     CallerGone,
@@ -34,7 +34,7 @@
     TellPeer,
     TimerDue,
 )
-from lilacridge.simhost import (
+from martentide.simhost import (
     WireError,
     read_event,
     read_report,
@@ -238,7 +238,7 @@
 )
 def test_bad_input_gets_one_plain_message(text: str, message: str) -> None:
     done = subprocess.run(
-        [sys.executable, "-B", "-m", "lilacridge.simhost"],
+        [sys.executable, "-B", "-m", "martentide.simhost"],
         input=text,
         capture_output=True,
         text=True,
@@ -246,20 +246,20 @@
         timeout=30,
     )
     assert done.returncode == 1
-    assert done.stderr == f"lilacridge: {message}\n"
+    assert done.stderr == f"martentide: {message}\n"
     assert done.stdout == ""
 
 
 def test_module_limits() -> None:
     """Lines, columns and imports of the decisions."""
-    package = Path(__file__).parent.parent / "lilacridge"
+    package = Path(__file__).parent.parent / "martentide"
     text = (package / "rules.py").read_text()
     lines = text.splitlines()
     assert sum(1 for line in lines if line.strip()) <= 650
     assert max(len(line) for line in lines) <= 110
-    assert "lilacridge/interface.py" in lines[0]
+    assert "martentide/interface.py" in lines[0]
     roots = {line.split()[1].split(".")[0] for line in lines if line.startswith(("import ", "from "))}
-    assert roots <= set(sys.stdlib_module_names) | {"lilacridge"}
+    assert roots <= set(sys.stdlib_module_names) | {"martentide"}
     assert "time" not in roots and "datetime" not in roots
 
 
