Build the signalling proxy on real sockets around the module

Actors for callers' parties, session servers, the list and the module; pure codecs; settings read in one place for both hosts.

--- /dev/null
+++ b/martentide/codec/board.py
@@ -0,0 +1,114 @@
+"""The list of session servers: numbered notices, as frames of the board and as JSON in the configuration.
+
+frame  = length:4 number:8 kind:1 payload      length counts all that follows it; big-endian
+kind 0 = nothing new; 1 = the whole list, 2 = changes: records of 27 bytes
+record = id:4 address:4 port:2 state:1 zone:1 kind:1 cell:2 weight:4 started:8
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import struct
+from dataclasses import dataclass
+from typing import Any
+
+from martentide.codec import CodecError
+from martentide.interface import ServerEntry, ServerState
+
+LENGTH = struct.Struct(">I")
+FRAME = struct.Struct(">QB")
+RECORD = struct.Struct(">I4sHBBBHIQ")
+NUMBER = struct.Struct(">Q")
+MOST_BYTES = 1024 * 1024  # of one frame: far more servers than any list holds
+NOTHING_NEW, WHOLE, CHANGES = 0, 1, 2
+STATES = (ServerState.OPEN, ServerState.DRAINING, ServerState.GONE)
+STATE_NAMES = {
+    "SERVING": ServerState.OPEN, "DRAINING": ServerState.DRAINING, "DELETED": ServerState.GONE,
+}  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """A server of the list and where it listens."""
+
+    entry: ServerEntry
+    host: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """One numbered event of the list."""
+
+    number: int
+    whole: bool
+    servers: tuple[Listed, ...]
+
+
+def frame_length(head: bytes) -> int:
+    """How many bytes follow the four of the length."""
+    length: int = LENGTH.unpack(head)[0]
+    if not FRAME.size <= length <= MOST_BYTES:
+        raise CodecError(f"a frame of {length} bytes")
+    return length
+
+
+def read_frame(body: bytes, zones: tuple[str, ...]) -> Notice | None:
+    """The notice in a frame whose length has been taken off; None for 'nothing new' and unknown kinds."""
+    number, kind = FRAME.unpack_from(body)
+    if kind not in (WHOLE, CHANGES):
+        return None
+    records, rest = divmod(len(body) - FRAME.size, RECORD.size)
+    if rest:
+        raise CodecError(f"{rest} bytes after {records} records")
+    rows = RECORD.iter_unpack(body[FRAME.size :])
+    return Notice(number, kind == WHOLE, tuple(_record(row, zones) for row in rows))
+
+
+def _record(row: tuple[Any, ...], zones: tuple[str, ...]) -> Listed:
+    name, address, port, state, zone, _, cell, weight, started = row
+    if state >= len(STATES):
+        raise CodecError(f"state {state}")
+    entry = ServerEntry(
+        name=f"s-{name:08x}",
+        place=cell,
+        zone=zones[zone] if zone < len(zones) else str(zone),
+        state=STATES[state],
+        started=float(started) if started else None,
+        size=weight / 1000.0 if weight else 1.0,
+    )
+    return Listed(entry, str(ipaddress.IPv4Address(address)), port)
+
+
+def write_number(number: int) -> bytes:
+    """What the proxy says on each connection to the board: the last number that it has."""
+    return NUMBER.pack(number)
+
+
+def read_known(raw: Any) -> tuple[int, list[Notice]]:
+    """The notices of the start and the number of the last, from the configuration's ``known``."""
+    try:
+        return int(raw["rev"]), [_notice(item) for item in raw["notices"]]
+    except KeyError as error:
+        raise CodecError(f"known: {error.args[0]} is missing or not valid") from None
+    except (TypeError, ValueError, AttributeError) as error:
+        raise CodecError(f"known: {error}") from None
+
+
+def _notice(raw: Any) -> Notice:
+    pool = raw["pool"]
+    return Notice(int(raw["rev"]), bool(pool["snapshot"]), tuple(_endpoint(e) for e in pool["endpoints"]))
+
+
+def _endpoint(raw: Any) -> Listed:
+    host, _, port = str(raw["address"]).rpartition(":")
+    started = float(raw.get("since_ms") or 0)
+    entry = ServerEntry(
+        name=str(raw["name"]),
+        place=int(raw["group"]),
+        zone=str(raw["zone"]),
+        state=STATE_NAMES[raw["status"]],
+        started=started or None,
+        size=float(raw.get("weight") or 1.0),
+    )
+    return Listed(entry, str(ipaddress.IPv4Address(host)), int(port))
--- /dev/null
+++ b/martentide/codec/messages.py
@@ -0,0 +1,121 @@
+"""Signalling messages: a length, a type, a call's id and parameters.
+
+    message   = length:2 type:1 call:8 parameters      length counts all that follows it; big-endian
+    parameter = code:1 length:2 value
+
+Parameters are kept as the bytes that came; unknown types and codes are carried, never refused.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+from enum import IntEnum
+
+from martentide.codec import CodecError
+
+MOST_BYTES = 16 * 1024  # of one message
+HEAD = struct.Struct(">HB8s")
+PARAMETER = struct.Struct(">BH")
+ID_BYTES = 8
+LEAST_LENGTH = HEAD.size - 2
+
+
+class Type(IntEnum):
+    SET_UP = 1
+    PROGRESS = 6
+    ANSWER = 9
+    RELEASE = 12
+    RELEASE_HEARD = 16
+    GROUP_STATE = 43
+    TEST = 52
+    TEST_RESULT = 53
+
+
+class Code(IntEnum):
+    CLASS = 129
+    TIME_LEFT = 131
+    NUMBER = 137
+    FIGURES = 139
+    HOLD_OFF = 141
+    NOTE = 143
+    REPORT = 147
+    CAUSE = 157
+    DESCRIPTION = 159
+
+
+class Cause(IntEnum):
+    """Values of the cause parameter, with the names that ITU-T Q.850 gives them."""
+
+    NORMAL = 16
+    USER_BUSY = 17
+    NO_CIRCUIT = 34
+    TEMPORARY_FAILURE = 41
+    CONGESTION = 42
+    RESOURCE_UNAVAILABLE = 47
+    INVALID_CONTENTS = 100
+    TIMER_EXPIRY = 102
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """One message; ``parameters`` maps a code to the value that came first under it."""
+
+    type: int
+    call: bytes
+    parameters: dict[int, bytes]
+
+    def text(self, code: Code) -> str | None:
+        """A parameter's text; None where it is absent or no ASCII."""
+        value = self.parameters.get(code)
+        if value is None or not value.isascii():
+            return None
+        return value.decode("ascii")
+
+    def cause(self) -> int | None:
+        value = self.parameters.get(Code.CAUSE)
+        return value[0] if value is not None and len(value) == 1 else None
+
+
+def body_length(head: bytes) -> int:
+    """How many bytes follow the two of the length."""
+    length = int.from_bytes(head, "big")
+    if not LEAST_LENGTH <= length <= MOST_BYTES - 2:
+        raise CodecError(f"a message of {length} bytes")
+    return length
+
+
+def read_message(body: bytes) -> Message:
+    """The message whose length has been taken off."""
+    if len(body) < LEAST_LENGTH:
+        raise CodecError(f"a message of {len(body)} bytes")
+    kind, call = body[0], body[1:LEAST_LENGTH]
+    parameters: dict[int, bytes] = {}
+    at = LEAST_LENGTH
+    while at < len(body):
+        if at + PARAMETER.size > len(body):
+            raise CodecError("a parameter's head is cut short")
+        code, length = PARAMETER.unpack_from(body, at)
+        at += PARAMETER.size
+        if at + length > len(body):
+            raise CodecError(f"parameter {code} is cut short")
+        parameters.setdefault(code, body[at : at + length])
+        at += length
+    return Message(kind, call, parameters)
+
+
+def write_message(kind: int, call: bytes, parameters: dict[int, bytes] | None = None) -> bytes:
+    """One whole message."""
+    parts = [PARAMETER.pack(code, len(value)) + value for code, value in (parameters or {}).items()]
+    body = b"".join(parts)
+    if LEAST_LENGTH + len(body) > MOST_BYTES - 2:
+        raise CodecError(f"a message of {LEAST_LENGTH + len(body)} bytes")
+    return HEAD.pack(LEAST_LENGTH + len(body), kind, call) + body
+
+
+def write_release(call: bytes, cause: int, hold_off: float = 0.0) -> bytes:
+    """A release; a hold-off is told in whole milliseconds, rounded up."""
+    parameters: dict[int, bytes] = {Code.CAUSE: bytes((cause,))}
+    if hold_off > 0:
+        parameters[Code.HOLD_OFF] = str(-int(-hold_off // 1)).encode("ascii")
+    return write_message(Type.RELEASE, call, parameters)
--- /dev/null
+++ b/martentide/net/config.py
@@ -0,0 +1,98 @@
+"""What a signalling proxy is told at its start: PROXY_CONFIG, PROXY_LISTEN and PROXY_NAME."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from martentide.codec import CodecError
+from martentide.codec.board import Notice, read_known
+from martentide.interface import Settings
+from martentide.settings import SettingsError, settings_from
+
+
+class ConfigError(Exception):
+    """A configuration that the program cannot start with; its text is one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """Times are seconds, as asyncio counts them."""
+
+    name: str
+    listen: Address
+    board: Address
+    seed: int
+    sockets: int
+    known_number: int
+    known: tuple[Notice, ...]
+    settings: Settings
+    zones: tuple[str, ...]
+    connect_timeout: float
+    max_open: int
+
+
+def read_address(text: Any, what: str) -> Address:
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not port.isdecimal() or int(port) > 65535:
+        raise ConfigError(f"{what}: {text!r} is not HOST:PORT")
+    return Address(host, int(port))
+
+
+def load_config(environment: Mapping[str, str], path: str | None = None) -> Config:
+    """The configuration file named by ``path`` or PROXY_CONFIG; the other variables go before its text."""
+    path = path or environment.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG: not set, and no --config given")
+    try:
+        raw = json.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{path}: not JSON: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{path}: not a JSON object")
+    for variable, key in (("PROXY_LISTEN", "listen"), ("PROXY_NAME", "name")):
+        if environment.get(variable):
+            raw[key] = environment[variable]
+    return read_config(raw)
+
+
+def read_config(raw: Mapping[str, Any]) -> Config:
+    try:
+        settings = settings_from(raw["settings"])
+        number, known = read_known(raw["known"])
+        limits = raw["settings"]["limits"]
+        return Config(
+            name=str(raw["name"]),
+            listen=read_address(raw["listen"], "listen"),
+            board=read_address(raw["board"], "board"),
+            seed=int(str(raw["seed"]), 16),
+            sockets=int(raw["limits"]["sockets"]),
+            known_number=number,
+            known=tuple(known),
+            settings=settings,
+            zones=tuple(str(zone) for zone in raw["settings"]["zones"]),
+            connect_timeout=float(limits["connect_timeout_ms"]) / 1000.0,
+            max_open=int(limits["max_open"]),
+        )
+    except SettingsError as error:
+        raise ConfigError(f"settings: {error}") from None
+    except CodecError as error:
+        raise ConfigError(str(error)) from None
+    except KeyError as error:
+        raise ConfigError(f"{error.args[0]}: missing") from None
+    except (TypeError, ValueError) as error:
+        raise ConfigError(f"a value has the wrong form: {error}") from None
--- /dev/null
+++ b/martentide/net/decider.py
@@ -0,0 +1,427 @@
+"""The actor of the decision module: it owns the Controller, the table of calls and their attempts.
+
+It speaks with fronts (who offer calls) and with the actors of the session servers, through mailboxes only.
+A front hands in Offer, GiveUp and ReleaseIn, and is told through the Caller protocol; nothing here knows how
+a front's messages look, so that another front can go through the same decisions and rules.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from martentide.codec.board import Listed, Notice
+from martentide.interface import (
+    Action,
+    AttemptEnded,
+    CallerGone,
+    CancelAttempt,
+    Ending,
+    Event,
+    Fail,
+    ListKind,
+    Note,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    Report,
+    SendSetUp,
+    ServerList,
+    ServerState,
+    SetTimer,
+    SetUpOffered,
+    Stands,
+    TimerDue,
+)
+from martentide.net.endings import LOG, log_event
+from martentide.net.links import unix_ms
+from martentide.rules import Controller
+
+MOST_STANDING = 50_000  # calls that stand at once, before new ones are refused
+REMEMBERED_IDS = 4096  # ids answered lately: one that comes again is no new call
+OVERDUE = 10.0  # ms after a caller's time in which the decisions should have answered
+
+
+# ---- the front's side -----------------------------------------------------------------------------------
+
+
+class Caller(Protocol):
+    """What the decider tells the party that offered a call; each call gets one of the first three."""
+
+    def answer(self, call: bytes, description: bytes) -> None: ...
+
+    def refuse(self, call: bytes, hold_off: float) -> None: ...
+
+    def fail(self, call: bytes) -> None: ...
+
+    def release(self, call: bytes, cut: bool) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """A new call. What goes on unchanged is bytes; the rest is for the decisions. ``at`` is Unix ms."""
+
+    caller: Caller
+    call: bytes
+    call_class: bytes
+    number: bytes
+    description: bytes
+    time_left: float
+    first_choice: int
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """The caller waits no longer for the answer; nothing is owed."""
+
+    call: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseIn:
+    """The caller ends a call that stands."""
+
+    call: bytes
+
+
+# ---- the session servers' side --------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """Set a call up at a server and wait ``patience`` ms for what it says."""
+
+    ref: int
+    attempt: int
+    call: bytes
+    call_class: bytes
+    number: bytes
+    description: bytes
+    patience: float
+
+
+@dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Take an attempt back; ``hang_up``: also when it stands by now."""
+
+    ref: int
+    attempt: int
+    call: bytes
+    hang_up: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Test:
+    """Ask a server for a sign of life and its report."""
+
+
+@dataclass(frozen=True, slots=True)
+class Stood:
+    ref: int
+    attempt: int
+    server: str
+    lag: float
+    description: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The one end of an ordered attempt, also of one that stood."""
+
+    ref: int
+    attempt: int
+    server: str
+    ending: Ending
+    lines_full: bool
+    lag: float
+    report: Report | None
+
+
+class ServerActor(Protocol):
+    def post(self, item: Order | Withdraw | Test | Listed) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Overdue:
+    ref: int
+
+
+Item = Offer | GiveUp | ReleaseIn | Stood | Ended | ProbeEnded | TimerDue | Overdue | Notice
+
+
+@dataclass(slots=True)
+class Call:
+    offer: Offer
+    ref: int
+    overdue: asyncio.TimerHandle
+    attempts: int = 0
+    out: int | None = None  # number of the attempt that is out
+    at: ServerActor | None = None
+    stands: bool = False
+    closed: bool = False  # nothing is owed to the caller any more
+
+
+class Decider:
+    """One Controller, fed in the order of the mailbox."""
+
+    def __init__(
+        self, controller: Controller, start_server: Callable[[Listed, Decider], ServerActor], max_open: int
+    ) -> None:
+        self.controller, self.start_server, self.max_open = controller, start_server, max_open
+        self.mailbox: asyncio.Queue[Item] = asyncio.Queue()
+        self.loop = asyncio.get_running_loop()
+        self.now = 0.0
+        self.refs = itertools.count(1)
+        self.calls: dict[int, Call] = {}
+        self.by_id: dict[bytes, Call] = {}
+        self.open_calls = 0  # offered and neither answered nor standing
+        self.answered: OrderedDict[bytes, None] = OrderedDict()
+        self.listed: dict[str, Listed] = {}
+        self.servers: dict[str, ServerActor] = {}
+        self.closing = False
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    def post(self, item: Item) -> None:
+        self.mailbox.put_nowait(item)
+
+    async def run(self) -> None:
+        while True:
+            item = await self.mailbox.get()
+            try:
+                self._take(item)
+            except Exception:
+                # Guards against an error in the decisions: the call it hit is answered, the rest goes on.
+                LOG.exception("internal-error item=%s", type(item).__name__)
+                self._settle_after_error(item)
+            if self.calls:
+                self.idle.clear()
+            else:
+                self.idle.set()
+
+    def _take(self, item: Item) -> None:
+        match item:
+            case Offer():
+                self._offer(item)
+            case GiveUp() | ReleaseIn():
+                self._caller_leaves(item.call)
+            case Stood():
+                self._stood(item)
+            case Ended():
+                self._ended(item)
+            case Notice():
+                self.follow(item)
+            case Overdue(ref):
+                self._overdue(ref)
+            case _:
+                self._feed(item)
+
+    def _clock(self) -> float:
+        """Unix time in ms that never runs backwards for the decisions."""
+        self.now = max(self.now, unix_ms())
+        return self.now
+
+    def _feed(self, event: Event) -> None:
+        for action in self.controller.handle(self._clock(), event):
+            self._act(action)
+
+    # ---- what the decisions ask -------------------------------------------------------------------------
+
+    def _act(self, action: Action) -> None:
+        match action:
+            case SendSetUp():
+                self._send(action)
+            case Refuse() | Fail():
+                call = self.calls.get(action.ref)
+                if call is not None and not call.closed:
+                    self._close(call)
+                    if isinstance(action, Refuse):
+                        call.offer.caller.refuse(call.offer.call, action.hold_off)
+                    else:
+                        call.offer.caller.fail(call.offer.call)
+            case CancelAttempt():
+                call = self.calls.get(action.ref)
+                if call is not None and call.out == action.attempt and call.at is not None:
+                    call.at.post(Withdraw(action.ref, action.attempt, call.offer.call, hang_up=False))
+            case SetTimer():
+                self.loop.call_later(max(0.0, action.delay) / 1000.0, self.post, TimerDue(action.token))
+            case Probe():
+                server = self.servers.get(action.server)
+                if server is not None:
+                    server.post(Test())
+                else:
+                    self.post(ProbeEnded(action.server, Ending.UNREACHABLE, False, 0.0, None))
+            case Note():
+                log_event("note", text=repr(action.text))
+            case _:  # peers and a list that must be asked for are not part of today's protocol
+                log_event("action-ignored", action=type(action).__name__)
+
+    def _send(self, action: SendSetUp) -> None:
+        call = self.calls.get(action.ref)
+        if call is None or call.closed or call.out is not None:
+            raise RuntimeError(f"set-up of call {action.ref}, which is closed or has an attempt out")
+        attempt, call.attempts = call.attempts, call.attempts + 1
+        call.out, call.at = attempt, self.servers.get(action.server)
+        offer = call.offer
+        if call.at is None:
+            self.post(Ended(call.ref, attempt, action.server, Ending.NOT_SENT, False, 0.0, None))
+            return
+        call.at.post(
+            Order(
+                ref=call.ref,
+                attempt=attempt,
+                call=offer.call,
+                call_class=offer.call_class,
+                number=offer.number,
+                description=offer.description,
+                patience=action.patience,
+            )
+        )
+
+    # ---- what fronts say --------------------------------------------------------------------------------
+
+    def _offer(self, offer: Offer) -> None:
+        if offer.call in self.by_id or offer.call in self.answered:
+            # Guards against a second answer: the id is in use or had its answer, which stays the only one.
+            log_event("duplicate-call", call=offer.call.hex())
+            known = self.by_id.get(offer.call)
+            if known is not None and known.offer.caller is not offer.caller:
+                offer.caller.refuse(offer.call, 0.0)
+            return
+        standing = len(self.by_id) - self.open_calls
+        if self.closing or self.open_calls >= self.max_open or standing >= MOST_STANDING:
+            offer.caller.refuse(offer.call, 0.0)
+            return
+        name = offer.call_class.decode("utf-8", "replace")
+        if name not in self.controller.classes:
+            log_event("unknown-class", call=offer.call.hex(), name=repr(name))
+            offer.caller.fail(offer.call)
+            return
+        now = self._clock()
+        left = offer.time_left - max(0.0, now - offer.at)
+        if left <= 0:
+            offer.caller.refuse(offer.call, 0.0)
+            return
+        ref = next(self.refs)
+        timer = self.loop.call_later((left + OVERDUE) / 1000.0, self.post, Overdue(ref))
+        call = self.calls[ref] = self.by_id[offer.call] = Call(offer, ref, timer)
+        self.open_calls += 1
+        number = offer.number.decode("utf-8", "replace") or None
+        self._feed(SetUpOffered(call.ref, name, None, number, left, offer.first_choice, False, False))
+
+    def _caller_leaves(self, call_id: bytes) -> None:
+        call = self.by_id.get(call_id)
+        if call is None or call.closed:
+            return
+        self._close(call)
+        if call.out is not None and call.at is not None:
+            call.at.post(Withdraw(call.ref, call.out, call_id, hang_up=True))
+        if not call.stands:
+            self._feed(CallerGone(call.ref))
+
+    def _overdue(self, ref: int) -> None:
+        """The caller's time is up and the decisions have not answered: the call fails, late by OVERDUE."""
+        call = self.calls.get(ref)
+        if call is None or call.closed or call.stands:
+            return
+        log_event("overdue", call=call.offer.call.hex(), attempts=call.attempts)
+        self._caller_leaves(call.offer.call)
+        call.offer.caller.fail(call.offer.call)
+
+    def _close(self, call: Call) -> None:
+        """The caller has its final answer or has left; the entry stays while an attempt is out."""
+        call.closed = True
+        self.open_calls -= not call.stands
+        call.overdue.cancel()
+        self.by_id.pop(call.offer.call, None)
+        self.answered[call.offer.call] = None
+        if len(self.answered) > REMEMBERED_IDS:
+            self.answered.popitem(last=False)
+        if call.out is None:
+            self.calls.pop(call.ref, None)
+
+    def _settle_after_error(self, item: Item) -> None:
+        ref = getattr(item, "ref", None)
+        call = self.by_id.get(item.call) if isinstance(item, Offer | GiveUp | ReleaseIn) else None
+        call = call or (self.calls.get(ref) if isinstance(ref, int) else None)
+        if call is None or call.closed or call.stands:
+            return
+        self.controller.calls.pop(call.ref, None)
+        self._close(call)
+        if call.out is not None and call.at is not None:
+            call.at.post(Withdraw(call.ref, call.out, call.offer.call, hang_up=True))
+        call.offer.caller.fail(call.offer.call)
+
+    # ---- what session servers say -----------------------------------------------------------------------
+
+    def _stood(self, item: Stood) -> None:
+        call = self.calls.get(item.ref)
+        if call is None or call.closed or call.out != item.attempt:
+            return  # the caller left meanwhile: the withdrawal on its way to the server ends the call there
+        call.stands = True
+        self.open_calls -= 1
+        call.overdue.cancel()
+        call.offer.caller.answer(call.offer.call, item.description)
+        self._feed(Stands(item.ref, item.attempt, item.server, item.lag))
+
+    def _ended(self, item: Ended) -> None:
+        call = self.calls.get(item.ref)
+        if call is None or call.out != item.attempt:
+            raise RuntimeError(f"the end of attempt {item.attempt} of call {item.ref}, which is not out")
+        call.out = call.at = None
+        if call.stands and not call.closed:
+            self._close(call)
+            call.offer.caller.release(call.offer.call, item.ending is not Ending.DELIVERED)
+        settled = call.closed
+        if settled:
+            self.calls.pop(call.ref, None)
+        self._feed(
+            AttemptEnded(
+                ref=item.ref,
+                attempt=item.attempt,
+                server=item.server,
+                ending=item.ending,
+                settled=settled,
+                lines_full=item.lines_full,
+                lag=item.lag,
+                report=item.report,
+            )
+        )
+
+    # ---- the list ---------------------------------------------------------------------------------------
+
+    def follow(self, notice: Notice, kind: ListKind | None = None) -> None:
+        """Tell the servers' actors first, so that no later order finds an old state, then the decisions."""
+        told = {listed.entry.name: listed for listed in notice.servers}
+        changed = dict(told)
+        if notice.whole:
+            for name, listed in self.listed.items():
+                if name not in told:
+                    changed[name] = gone(listed)
+        for name, listed in changed.items():
+            log_event("server-listed", server=name, state=listed.entry.state.value, number=notice.number)
+            if listed.entry.state is ServerState.GONE:
+                self.listed.pop(name, None)
+                actor = self.servers.pop(name, None)
+                if actor is not None:
+                    actor.post(listed)
+                continue
+            self.listed[name] = listed
+            if name in self.servers:
+                self.servers[name].post(listed)
+            else:
+                self.servers[name] = self.start_server(listed, self)
+        kind = kind or (ListKind.WHOLE if notice.whole else ListKind.CHANGES)
+        self._feed(ServerList(kind, tuple(listed.entry for listed in notice.servers)))
+
+
+def gone(listed: Listed) -> Listed:
+    """The same server, gone: a whole list that leaves it out says so."""
+    entry = listed.entry
+    left = type(entry)(entry.name, entry.place, entry.zone, ServerState.GONE, entry.started, entry.size)
+    return Listed(left, listed.host, listed.port)
--- /dev/null
+++ b/martentide/net/links.py
@@ -0,0 +1,125 @@
+"""One connection that carries signalling messages, as callers and session servers both have them.
+
+A link belongs to one actor: it posts what comes into that actor's mailbox and writes for it without waiting.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from martentide.codec import CodecError
+from martentide.codec.messages import Message, body_length, read_message
+from martentide.net.endings import Reason, log_ended
+
+UNREAD = 64  # messages of one link that wait in its actor's mailbox at most; then the link reads no more
+MOST_UNSENT = 256 * 1024  # bytes that wait for a peer that does not read, before its link is given up
+WRITE_LIMIT = 2.0  # s in which what waits must have gone out, or the peer is taken for blocked
+
+
+def unix_ms() -> float:
+    return time.time() * 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """A whole message came over a link, its last byte at ``at`` (Unix ms)."""
+
+    link: Link
+    message: Message
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class LinkEnded:
+    """A link is over; nothing more comes from it."""
+
+    link: Link
+    reason: Reason
+
+
+class Link:
+    """Reads whole messages, writes without waiting, and ends once, with one reason and one log line."""
+
+    def __init__(
+        self,
+        role: str,
+        peer: str,
+        streams: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+        post: Callable[[Received | LinkEnded], None],
+    ) -> None:
+        self.role, self.peer, self.post = role, peer, post
+        self.reader, self.writer = streams
+        self.loop = asyncio.get_running_loop()
+        self.opened_at = self.heard_at = self.loop.time()
+        self.ended_by: Reason | None = None
+        self.credit = asyncio.Semaphore(UNREAD)
+        self.watch: asyncio.TimerHandle | None = None
+        self.task = self.loop.create_task(self._pump(), name=f"link {role} {peer}")
+
+    async def _pump(self) -> None:
+        reason, detail = Reason.INTERNAL, ""
+        try:
+            while True:
+                head = await self.reader.readexactly(2)
+                body = await self.reader.readexactly(body_length(head))
+                at = unix_ms()
+                self.heard_at = self.loop.time()
+                message = read_message(body)
+                await self.credit.acquire()
+                self.post(Received(self, message, at))
+        except asyncio.IncompleteReadError as error:
+            # The message's body may be cut off at its very first byte: then nothing of it is left to see.
+            reason = Reason.TRUNCATED if error.partial or error.expected != 2 else Reason.PEER_CLOSED
+        except CodecError as error:
+            reason, detail = Reason.MALFORMED, str(error)
+        except (ConnectionResetError, BrokenPipeError):
+            reason = Reason.PEER_RESET
+        except OSError as error:
+            reason, detail = Reason.IO_ERROR, str(error)
+        except Exception as error:  # one bad peer must not take the program down
+            detail = repr(error)
+        finally:
+            self.close(reason)
+            log_ended(
+                self.role, self.peer, self.ended_by or reason, detail if self.ended_by is reason else ""
+            )
+            self.post(LinkEnded(self, self.ended_by or reason))
+
+    @property
+    def alive(self) -> bool:
+        return self.ended_by is None
+
+    @property
+    def blocked(self) -> bool:
+        """Whether bytes wait here because the peer takes none."""
+        return self.writer.transport.get_write_buffer_size() > 0
+
+    def write(self, data: bytes) -> None:
+        """Write now; a peer that does not read is given up after WRITE_LIMIT and delays nobody else."""
+        if not self.alive or self.writer.is_closing():
+            return
+        self.writer.write(data)
+        if self.writer.transport.get_write_buffer_size() > MOST_UNSENT:
+            self.close(Reason.BLOCKED)
+        elif self.blocked and self.watch is None:
+            self.watch = self.loop.call_later(WRITE_LIMIT, self._still_blocked)
+
+    def _still_blocked(self) -> None:
+        self.watch = None
+        if self.blocked:
+            self.close(Reason.BLOCKED)
+
+    def close(self, reason: Reason) -> None:
+        """End the link; the first reason given is the one that is logged."""
+        if self.ended_by is not None:
+            return
+        self.ended_by = reason
+        if self.watch is not None:
+            self.watch.cancel()
+        if self.blocked:
+            self.writer.transport.abort()
+        else:
+            self.writer.close()
--- /dev/null
+++ b/martentide/net/servers.py
@@ -0,0 +1,415 @@
+"""One actor for each session server: its connections, the set-ups and calls there, and its tests.
+
+The actor hears everything through its mailbox, in order: the decider's orders, what links read, its timers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from martentide.codec import CodecError
+from martentide.codec.board import Listed
+from martentide.codec.figures import read_report
+from martentide.codec.messages import Cause, Code, Message, Type, write_message, write_release
+from martentide.interface import Ending, ProbeEnded, Report, ServerState
+from martentide.net.decider import Ended, Order, Stood, Test, Withdraw
+from martentide.net.endings import LOG, Reason, log_ended
+from martentide.net.links import Link, LinkEnded, Received
+
+MOST_LINKS = 4  # to one server: so many get its group state
+TEST_LIMIT = 0.25  # s a test may take
+REDIAL_AFTER = (0.5, 1.0)  # s, drawn between the two, after a dial that failed or a link that ended
+SILENT_AFTER = 2.5  # s without a byte, with something unanswered, after which a link is doubted
+MOST_ABANDONED = 1024  # ids remembered for each link
+NO_LINE = "all_trunks_busy"
+ERRORS = (Cause.USER_BUSY, Cause.RESOURCE_UNAVAILABLE)
+REFUSALS = {int(Cause.NO_CIRCUIT): Ending.FULL, int(Cause.TIMER_EXPIRY): Ending.NOT_SENT}
+
+
+@dataclass(slots=True)
+class Held:
+    """A set-up that was ordered here, until its end; it stands once the server has answered."""
+
+    order: Order
+    timer: asyncio.TimerHandle
+    ordered: float
+    sent: float | None = None
+    link: Link | None = None
+    stands: bool = False
+
+
+@dataclass(slots=True)
+class Way:
+    """A link and the calls given up on it: a late word about one must not count for its next attempt."""
+
+    link: Link
+    abandoned: OrderedDict[bytes, None] = field(default_factory=OrderedDict)
+
+    def abandon(self, call: bytes) -> None:
+        self.abandoned[call] = None
+        if len(self.abandoned) > MOST_ABANDONED:
+            self.abandoned.popitem(last=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Dialled:
+    streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
+    reason: Reason | None
+
+
+@dataclass(frozen=True, slots=True)
+class PatienceOver:
+    order: Order
+
+
+@dataclass(frozen=True, slots=True)
+class TestOver:
+    test: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RedialDue:
+    pass
+
+
+Item = Order | Withdraw | Test | Listed | Received | LinkEnded | Dialled | PatienceOver | TestOver | RedialDue
+
+
+class Server:
+    """The actor of one session server; ``tell`` is the decider's mailbox."""
+
+    def __init__(
+        self, listed: Listed, connect_timeout: float, tell: Callable[[Stood | Ended | ProbeEnded], None]
+    ) -> None:
+        self.listed, self.connect_timeout, self.tell = listed, connect_timeout, tell
+        self.name = listed.entry.name
+        self.loop = asyncio.get_running_loop()
+        self.mailbox: asyncio.Queue[Item] = asyncio.Queue()
+        self.ways: list[Way] = []  # the latest is used first
+        self.held: dict[bytes, Held] = {}
+        self.tests: dict[bytes, tuple[float, asyncio.TimerHandle, Link | None]] = {}
+        self.test_numbers = itertools.count(1)
+        self.owed: dict[bytes, bytes] = {}  # releases to write on the next link
+        self.dialling: asyncio.Task[None] | None = None
+        self.redial: asyncio.TimerHandle | None = None
+        self.task = self.loop.create_task(self._run(), name=f"server {self.name}")
+
+    def post(self, item: Item) -> None:
+        self.mailbox.put_nowait(item)
+
+    async def _run(self) -> None:
+        self._dial()
+        while not (self.listed.entry.state is ServerState.GONE and not self.ways and not self.held):
+            item = await self.mailbox.get()
+            try:
+                self._take(item)
+            except Exception:
+                LOG.exception("internal-error server=%s item=%s", self.name, type(item).__name__)
+            if isinstance(item, Received):
+                item.link.credit.release()
+        while not self.mailbox.empty():  # what crossed the word that the server is gone still gets its end
+            late = self.mailbox.get_nowait()
+            if isinstance(late, Order):
+                self.tell(Ended(late.ref, late.attempt, self.name, Ending.NOT_SENT, False, 0.0, None))
+
+    def _take(self, item: Item) -> None:
+        match item:
+            case Order():
+                self._order(item)
+            case Withdraw():
+                self._withdraw(item)
+            case Received():
+                self._received(item.link, item.message)
+            case PatienceOver():
+                self._patience_over(item.order)
+            case Dialled():
+                self._dialled(item)
+            case LinkEnded():
+                self._link_ended(item.link, item.reason)
+            case Test():
+                self._test()
+            case TestOver():
+                self._end_test(item.test, Ending.TIMED_OUT, None)
+                self._doubt()
+            case RedialDue():
+                self.redial = None
+                self._dial()
+            case Listed():
+                self._told(item)
+
+    # ---- set-ups ----------------------------------------------------------------------------------------
+
+    def _order(self, order: Order) -> None:
+        now = self.loop.time()
+        timer = self.loop.call_later(max(0.0, order.patience) / 1000.0, self.post, PatienceOver(order))
+        held = self.held[order.call] = Held(order, timer, now)
+        self._send(held)
+
+    def _send(self, held: Held) -> None:
+        """Write the set-up now, or leave it to wait for the dial; it may wait for nothing else."""
+        order = held.order
+        if self.listed.entry.state is not ServerState.OPEN:
+            # Checked here, as the first byte is written: what waited for a dial may not outlast a drain.
+            self._end(held, Ending.NOT_SENT)
+            return
+        way = next((way for way in reversed(self.ways) if order.call not in way.abandoned), None)
+        if way is None:
+            if len(self.ways) >= MOST_LINKS:
+                self._end(held, Ending.NOT_SENT)
+            else:
+                self._dial()
+            return
+        if way.link.blocked:
+            self._end(held, Ending.UNREACHABLE)
+            return
+        held.sent, held.link = self.loop.time(), way.link
+        left = order.patience - (held.sent - held.ordered) * 1000.0
+        way.link.write(
+            write_message(
+                Type.SET_UP,
+                order.call,
+                {
+                    Code.CLASS: order.call_class,
+                    Code.TIME_LEFT: str(max(1, round(left))).encode("ascii"),
+                    Code.NUMBER: order.number,
+                    Code.DESCRIPTION: order.description,
+                },
+            )
+        )
+
+    def _patience_over(self, order: Order) -> None:
+        held = self.held.get(order.call)
+        if held is None or held.order is not order or held.stands:
+            return
+        if held.sent is None:
+            self._end(held, Ending.UNREACHABLE)
+            return
+        self._give_up(held)
+        self._end(held, Ending.TIMED_OUT)
+        self._doubt()
+
+    def _withdraw(self, item: Withdraw) -> None:
+        held = self.held.get(item.call)
+        if held is None or (held.order.ref, held.order.attempt) != (item.ref, item.attempt):
+            return
+        if held.stands:
+            if item.hang_up:
+                self._release(held)
+                self._end(held, Ending.CANCELLED)
+            return
+        if held.sent is not None:
+            self._give_up(held)
+        self._end(held, Ending.CANCELLED)
+
+    def _give_up(self, held: Held) -> None:
+        """Written before the decider hears of the end, and remembered against late words on that link."""
+        if held.link is not None:
+            held.link.write(write_release(held.order.call, Cause.NORMAL))
+            for way in self.ways:
+                if way.link is held.link:
+                    way.abandon(held.order.call)
+
+    def _release(self, held: Held) -> None:
+        """End a call that stands: on its set-up's link, any other, or the next that opens."""
+        release = write_release(held.order.call, Cause.NORMAL)
+        link = self._link_for(held)
+        if link is not None:
+            link.write(release)
+        else:
+            self.owed[held.order.call] = release
+            self._dial()
+
+    def _link_for(self, held: Held) -> Link | None:
+        if held.link is not None and held.link.alive:
+            return held.link
+        return next((way.link for way in reversed(self.ways) if way.link.alive), None)
+
+    def _end(
+        self, held: Held, ending: Ending, lines_full: bool = False, report: Report | None = None
+    ) -> None:
+        held.timer.cancel()
+        del self.held[held.order.call]
+        since = held.ordered if held.sent is None else held.sent
+        lag = (self.loop.time() - since) * 1000.0
+        order = held.order
+        self.tell(Ended(order.ref, order.attempt, self.name, ending, lines_full, lag, report))
+
+    # ---- what the server says ---------------------------------------------------------------------------
+
+    def _received(self, link: Link, message: Message) -> None:
+        match message.type:
+            case Type.ANSWER:
+                self._answered(link, message)
+            case Type.RELEASE:
+                self._released(link, message)
+            case Type.GROUP_STATE | Type.TEST_RESULT:
+                self._state(message)
+
+    def _answered(self, link: Link, message: Message) -> None:
+        held = self.held.get(message.call)
+        if held is None or held.stands or held.link is not link:
+            return  # of an attempt given up: the give-up, which the server reads next, ends it there
+        description = message.parameters.get(Code.DESCRIPTION)
+        if description is None:
+            self._release(held)
+            self._end(held, Ending.ERROR)
+            return
+        held.stands = True
+        held.timer.cancel()
+        lag = (self.loop.time() - (held.sent or held.ordered)) * 1000.0
+        self.tell(Stood(held.order.ref, held.order.attempt, self.name, lag, description))
+
+    def _released(self, link: Link, message: Message) -> None:
+        held = self.held.get(message.call)
+        if held is None or (not held.stands and held.link is not link):
+            return
+        cause = message.cause()
+        report = self._report(message)
+        if held.stands:
+            self._end(held, Ending.DELIVERED if cause == Cause.NORMAL else Ending.CUT, report=report)
+        elif cause == Cause.TEMPORARY_FAILURE:
+            self._end(held, Ending.CUT, report=report)
+        else:
+            ending = REFUSALS.get(cause or 0, Ending.ERROR)
+            full = ending is Ending.FULL and message.text(Code.NOTE) == NO_LINE
+            self._end(held, ending, full, report)
+
+    def _state(self, message: Message) -> None:
+        report = self._report(message)
+        if message.call in self.tests:
+            passed = message.type == Type.GROUP_STATE or message.cause() == 1
+            self._end_test(message.call, Ending.DELIVERED if passed else Ending.ERROR, report)
+        elif message.type == Type.GROUP_STATE:
+            self.tell(ProbeEnded(self.name, Ending.DELIVERED, True, 0.0, report))
+
+    def _report(self, message: Message) -> Report | None:
+        text = message.text(Code.REPORT)
+        try:
+            return None if text is None else read_report(text)
+        except CodecError as error:  # the rest of the message stands without it
+            LOG.warning("bad-report server=%s detail=%r", self.name, str(error))
+            return None
+
+    # ---- tests ------------------------------------------------------------------------------------------
+
+    def _test(self) -> None:
+        number = next(self.test_numbers).to_bytes(8, "big")
+        timer = self.loop.call_later(TEST_LIMIT, self.post, TestOver(number))
+        link = self.ways[-1].link if self.ways else None
+        self.tests[number] = (self.loop.time(), timer, link)
+        if link is not None:
+            link.write(write_message(Type.TEST, number, {Code.CAUSE: b"\x01"}))
+        else:
+            self._dial()
+
+    def _end_test(self, number: bytes, ending: Ending, report: Report | None) -> None:
+        test = self.tests.pop(number, None)
+        if test is None:
+            return
+        test[1].cancel()
+        self.tell(ProbeEnded(self.name, ending, False, (self.loop.time() - test[0]) * 1000.0, report))
+
+    # ---- links ------------------------------------------------------------------------------------------
+
+    def _dial(self) -> None:
+        gone = self.listed.entry.state is ServerState.GONE
+        if gone or self.dialling is not None or len(self.ways) >= MOST_LINKS:
+            return
+        if self.redial is not None:
+            self.redial.cancel()
+            self.redial = None
+        self.dialling = self.loop.create_task(self._dial_once(), name=f"dial {self.name}")
+
+    async def _dial_once(self) -> None:
+        """One dial, within the settings' limit: a machine that is cut off gives no sign."""
+        detail = ""
+        try:
+            async with asyncio.timeout(self.connect_timeout):
+                streams = await asyncio.open_connection(self.listed.host, self.listed.port)
+            self.post(Dialled(streams, None))
+            return
+        except TimeoutError:
+            reason = Reason.DIAL_TIMEOUT
+        except ConnectionRefusedError:
+            reason = Reason.DIAL_REFUSED
+        except OSError as error:
+            reason, detail = Reason.DIAL_ERROR, str(error)
+        log_ended("server", self.name, reason, detail)
+        self.post(Dialled(None, reason))
+
+    def _dialled(self, item: Dialled) -> None:
+        self.dialling = None
+        if item.streams is not None:
+            link = Link("server", self.name, item.streams, self.post)
+            if self.listed.entry.state is ServerState.GONE:
+                link.close(Reason.SERVER_GONE)
+            self.ways.append(Way(link))
+            for release in self.owed.values():
+                link.write(release)
+            self.owed.clear()
+            for held in [held for held in self.held.values() if held.sent is None]:
+                self._send(held)
+            return
+        for held in [held for held in self.held.values() if held.sent is None]:
+            self._end(held, Ending.UNREACHABLE)
+        for number, test in list(self.tests.items()):
+            if test[2] is None:
+                self._end_test(number, Ending.UNREACHABLE, None)
+        if item.reason is Reason.DIAL_REFUSED and not self.ways:
+            self._cut_standing()  # no process listens there: the one that held them is no more
+        self._redial_later()
+
+    def _redial_later(self) -> None:
+        if self.redial is None and self.listed.entry.state is not ServerState.GONE:
+            self.redial = self.loop.call_later(random.uniform(*REDIAL_AFTER), self.post, RedialDue())
+
+    def _link_ended(self, link: Link, reason: Reason) -> None:
+        self.ways = [way for way in self.ways if way.link is not link]
+        given_up = reason in (Reason.BLOCKED, Reason.SILENT)
+        for held in [h for h in self.held.values() if h.link is link and not h.stands]:
+            self._end(held, Ending.TIMED_OUT if given_up else Ending.CUT)
+        for number, test in list(self.tests.items()):
+            if test[2] is link:
+                self._end_test(number, Ending.CUT, None)
+        if reason is Reason.PEER_RESET and not self.ways:
+            self._cut_standing()
+        if not self.ways:
+            if any(held.stands for held in self.held.values()) or self.owed:
+                self._dial()  # releases come on the next link that opens, and they have limits
+            else:
+                self._redial_later()
+
+    def _cut_standing(self) -> None:
+        """The process that held the calls is dead; their callers must hear of it in time."""
+        for held in [held for held in self.held.values() if held.stands]:
+            self._end(held, Ending.CUT)
+        self.owed.clear()
+
+    def _doubt(self) -> None:
+        """Something went unanswered: where nothing at all came for long, see whether a new link comes up."""
+        now = self.loop.time()
+        if self.ways and now - self.ways[-1].link.heard_at > SILENT_AFTER:
+            self._dial()
+
+    def _told(self, listed: Listed) -> None:
+        restarted = (listed.entry.started or 0.0) > (self.listed.entry.started or 0.0)
+        self.listed = listed
+        if listed.entry.state is ServerState.GONE:
+            if self.redial is not None:
+                self.redial.cancel()
+            for held in list(self.held.values()):
+                self._end(held, Ending.UNREACHABLE if held.sent is None else Ending.CUT)
+            for number in list(self.tests):
+                self._end_test(number, Ending.UNREACHABLE, None)
+            for way in self.ways:
+                way.link.close(Reason.SERVER_GONE)
+        elif restarted:
+            for way in self.ways:
+                way.link.close(Reason.REPLACED)
+            self._cut_standing()
+            self._dial()
--- a/martentide/simhost.py
+++ b/martentide/simhost.py
@@ -13,7 +13,6 @@
 from martentide.interface import (
     Action,
     AttemptEnded,
-    CallClass,
     CallerGone,
     CancelAttempt,
     Ending,
@@ -26,22 +25,19 @@
     Probe,
     ProbeEnded,
     Refuse,
-    Repeat,
     Report,
-    ReportBy,
     SendSetUp,
     ServerEntry,
     ServerList,
     ServerState,
     SetTimer,
-    Settings,
     SetUpOffered,
     Stands,
     TellPeer,
-    Tenant,
     TimerDue,
 )
 from martentide.rules import Controller
+from martentide.settings import SettingsError, read_settings
 
 
 class WireError(Exception):
@@ -54,10 +50,6 @@
     "BATCH": 1, "END": 0,
 }  # fmt: skip
 
-REPEATS = {
-    "read_like": Repeat.HARMLESS, "idempotency_key": Repeat.KEYED, "non_idempotent": Repeat.ONCE_ONLY,
-}  # fmt: skip
-REPORT_WAYS = {"answers": ReportBy.ANSWERS, "probe": ReportBy.PROBES, "none": ReportBy.NEVER}
 STATES = {
     "healthy": ServerState.OPEN, "cordoned": ServerState.DRAINING, "deregistered": ServerState.GONE,
 }  # fmt: skip
@@ -96,61 +88,6 @@
     return bool(_convert({"1": True, "0": False, "-": False}.__getitem__, text, what))
 
 
-def read_settings(text: str) -> Settings:
-    """Settings of one instance from its JSON text; unknown keys are ignored, missing ones are named."""
-    try:
-        raw = json.loads(text)
-    except ValueError:
-        raise WireError("profile_data: not a JSON object") from None
-    if not isinstance(raw, dict):
-        raise WireError("profile_data: not a JSON object")
-    try:
-        return _settings(raw)
-    except KeyError as error:
-        raise WireError(f"profile_data: {error.args[0]} is missing or not valid") from None
-    except (TypeError, ValueError, AttributeError, IndexError):
-        raise WireError("profile_data: a value has the wrong form") from None
-
-
-def _settings(raw: dict[str, Any]) -> Settings:
-    extra, limits, rules = raw["extra"], raw["limits"], raw["rules"]
-    pools = extra.get("pools_by_class") if extra.get("layout") == "groups" else None
-    classes = tuple(
-        CallClass(
-            name=str(item["name"]),
-            worth=float(item["worth"]),
-            aim=float(item["aim_ms"]),
-            deadline=float(item["deadline_ms"]),
-            late_share=float(item["late_share"]),
-            repeat=REPEATS[item["repeat"]],
-            pools=None if pools is None else tuple(int(place) for place in pools[at]),
-        )
-        for at, item in enumerate(raw["classes"])
-    )
-    return Settings(
-        proxies=int(raw["n_instances"]),
-        own_slot=int(raw["slot_no"]),
-        own_place=int(extra.get("own_number", -1)),
-        classes=classes,
-        tenants=tuple(Tenant(str(p["name"]), float(p["allowance_per_s"])) for p in raw["parties"]),
-        over_share_worth=float(raw["over_share_worth"]),
-        report_by=REPORT_WAYS[raw["feedback"]["how"]],
-        lists_pushed=raw["membership_mode"] == "automatic",
-        may_probe=bool(limits["probes"]),
-        may_tell_peers=bool(limits["peers"]),
-        may_cancel=bool(limits["may_cancel"]),
-        max_attempts=int(limits["max_attempts"]),
-        max_hold_off=float(limits["max_retry_after_ms"]) if limits["retry_after"] else 0.0,
-        release=float(extra["release_ms"]),
-        repeat_interval=float(extra["t1_ms"]),
-        answer_slack=float(rules["answer_slack_ms"]),
-        cold_share=float(rules["cold_share"]),
-        cold_time=float(rules["cold_ms"]),
-        fall_multiple=float(rules["fall_multiple"]),
-        fall_time=float(rules["fall_ms"]),
-    )
-
-
 def read_report(text: str, fields: tuple[str, ...]) -> Report | None:
     """A load report; -1, absent and endless figures and what is no number count as not reported."""
     if text == "-":
@@ -295,7 +232,11 @@
     def _event(self, now: float, proxy: int, word: str, values: list[str]) -> list[str]:
         if word == "CREATE":
             fields = tuple(_json_fields(values[1]))
-            self.instances[proxy] = (Controller(read_settings(values[1]), _whole(values[0], "prng")), fields)
+            try:
+                settings = read_settings(values[1])
+            except SettingsError as error:
+                raise WireError(f"profile_data: {error}") from None
+            self.instances[proxy] = (Controller(settings, _whole(values[0], "prng")), fields)
             return []
         controller, fields = self._known(proxy, word)
         event = self._list(values) if word == "MEMBERSHIP" else read_event(word, values, fields)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -34,12 +34,11 @@
     TellPeer,
     TimerDue,
 )
+from martentide.settings import SettingsError, read_settings
 from martentide.simhost import (
-    WireError,
     read_event,
     read_report,
     read_server,
-    read_settings,
     serve,
     split_line,
     write_action,
@@ -185,7 +184,7 @@
 @pytest.mark.parametrize("key", ["classes", "extra", "limits", "rules", "n_instances", "feedback"])
 def test_missing_settings_are_named(key: str) -> None:
     less = {name: value for name, value in PROFILE.items() if name != key}
-    with pytest.raises(WireError, match=key):
+    with pytest.raises(SettingsError, match=key):
         read_settings(json.dumps(less))
 
 
