--- /dev/null
+++ b/tests/net/support.py
@@ -0,0 +1,219 @@
+"""The one helper of the network tests: starts the program and plays its peers over loopback sockets."""
+
+from __future__ import annotations
+
+import json
+import os
+import queue
+import re
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+from martentide.codec.board import FRAME, LENGTH, RECORD
+from martentide.codec.messages import Code, Message, Type, body_length, read_message, write_message
+
+ROOT = Path(__file__).parent.parent.parent
+LIMIT = 15.0  # s that any wait may take before the test fails
+DESCRIPTION = bytes(range(256))  # goes on byte for byte, whatever it holds
+
+SETTINGS: dict[str, Any] = {
+    "n_instances": 1,
+    "slot_no": 0,
+    "classes": [
+        {
+            "name": "voice",
+            "worth": 1.0,
+            "aim_ms": 1500.0,
+            "deadline_ms": 9000.0,
+            "late_share": 0.1,
+            "repeat": "read_like",
+        }
+    ],
+    "extra": {"layout": "groups", "own_number": -1, "pools_by_class": [[0, 1]], "release_ms": 200.0, "t1_ms": 800.0},
+    "feedback": {"fields": ["spare", "total", "cut_by"], "how": "answers"},
+    "limits": {
+        "connect_timeout_ms": 500.0,
+        "max_attempts": 5,
+        "max_open": 100,
+        "max_retry_after_ms": 2000.0,
+        "may_cancel": True,
+        "peers": False,
+        "probes": True,
+        "retry_after": True,
+    },
+    "membership_mode": "automatic",
+    "over_share_worth": 0.1,
+    "parties": [],
+    "rules": {
+        "answer_slack_ms": 20.0,
+        "cold_ms": 13000.0,
+        "cold_share": 0.31,
+        "fall_multiple": 2.0,
+        "fall_ms": 3000.0,
+    },
+    "zones": ["east", "west"],
+}  # fmt: skip
+
+
+class Wire:
+    """One connection that speaks the protocol's messages."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        sock.settimeout(LIMIT)
+
+    def exactly(self, count: int) -> bytes:
+        data = b""
+        while len(data) < count:
+            part = self.sock.recv(count - len(data))
+            if not part:
+                raise EOFError
+            data += part
+        return data
+
+    def send(self, kind: int, call: bytes, parameters: dict[int, bytes] | None = None) -> None:
+        self.sock.sendall(write_message(kind, call, parameters))
+
+    def set_up(self, call: bytes, left: int = 3000, **more: bytes) -> None:
+        parameters: dict[int, bytes] = {
+            Code.CLASS: more.get("name", b"voice"),
+            Code.TIME_LEFT: str(left).encode(),
+            Code.NUMBER: b"7f3a",
+            Code.FIGURES: b"dest:0;width:1;via:-1",
+            Code.DESCRIPTION: DESCRIPTION,
+        }
+        self.send(Type.SET_UP, call, parameters)
+
+    def release(self, call: bytes, cause: int) -> None:
+        self.send(Type.RELEASE, call, {Code.CAUSE: bytes((cause,))})
+
+    def receive(self, *kinds: int) -> Message:
+        """The next message, or the next of these types."""
+        while True:
+            message = read_message(self.exactly(body_length(self.exactly(2))))
+            if not kinds or message.type in kinds:
+                return message
+
+    def closed(self) -> bool:
+        """Whether the other side ends the connection, after whatever it still had to say."""
+        try:
+            while True:
+                self.exactly(1)
+        except (EOFError, ConnectionResetError):
+            return True
+
+    def reset(self) -> None:
+        """End it as the death of a process would."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        self.sock.close()
+
+
+class Listener:
+    """A scripted peer that is dialled: a session server or the board."""
+
+    def __init__(self) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.settimeout(LIMIT)
+        self.port: int = self.sock.getsockname()[1]
+
+    def accept(self) -> Wire:
+        return Wire(self.sock.accept()[0])
+
+    def close(self) -> None:
+        self.sock.close()
+
+
+def endpoint(number: int, port: int, status: str = "SERVING") -> dict[str, Any]:
+    return {
+        "name": f"s-{number:08x}", "address": f"127.0.0.1:{port}", "zone": "east", "type": "std",
+        "group": number, "status": status, "weight": 1, "since_ms": 0,
+    }  # fmt: skip
+
+
+def frame(number: int, kind: int, *records: tuple[int, int, int]) -> bytes:
+    """A frame of the board; records as (id, port, state)."""
+    local = socket.inet_aton("127.0.0.1")
+    body = FRAME.pack(number, kind) + b"".join(
+        RECORD.pack(name, local, port, state, 0, 0, name, 1000, 0) for name, port, state in records
+    )
+    return LENGTH.pack(len(body)) + body
+
+
+class Program:
+    """The program under test, with its board and as many session servers as the test scripts."""
+
+    def __init__(self, folder: Path, servers: int = 1, **limits: Any) -> None:
+        self.servers = [Listener() for _ in range(servers)]
+        self.board = Listener()
+        settings = {**SETTINGS, "limits": {**SETTINGS["limits"], **limits}}
+        known = [endpoint(at, server.port) for at, server in enumerate(self.servers)]
+        self.config = folder / "config.json"
+        self.config.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": "127.0.0.1:0",
+                    "seed": "8c1f30d27a5be964",
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 64},
+                    "board": f"127.0.0.1:{self.board.port}",
+                    "known": {
+                        "rev": 1,
+                        "notices": [{"rev": 1, "pool": {"index": 1, "snapshot": True, "endpoints": known}}],
+                    },
+                    "settings": settings,
+                }
+            )
+        )
+        self.process = subprocess.Popen(
+            [sys.executable, "-B", "-m", "martentide", "serve", "--config", str(self.config)],
+            cwd=ROOT,
+            env={name: value for name, value in os.environ.items() if not name.startswith("PROXY_")},
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.lines: queue.Queue[str] = queue.Queue()
+        self.log: list[str] = []
+        threading.Thread(target=self._read_log, daemon=True).start()
+        self.port = int(self.logged(r"serving .*address=127\.0\.0\.1:(\d+)").group(1))
+
+    def _read_log(self) -> None:
+        assert self.process.stderr is not None
+        for line in self.process.stderr:
+            self.lines.put(line.rstrip())
+
+    def logged(self, pattern: str) -> re.Match[str]:
+        """The first log line, from where the last search ended, that holds the pattern."""
+        end = time.monotonic() + LIMIT
+        while True:
+            try:
+                line = self.lines.get(timeout=max(0.01, end - time.monotonic()))
+            except queue.Empty:
+                raise AssertionError(f"no log line with {pattern!r} in {self.log}") from None
+            self.log.append(line)
+            found = re.search(pattern, line)
+            if found:
+                return found
+
+    def caller(self) -> Wire:
+        return Wire(socket.create_connection(("127.0.0.1", self.port), LIMIT))
+
+    def terminate(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+    def __enter__(self) -> Program:
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.process.kill()
+        self.process.wait()
+        for listener in [*self.servers, self.board]:
+            listener.close()
--- /dev/null
+++ b/tests/net/test_rules_on_sockets.py
@@ -0,0 +1,233 @@
+"""The started program on real sockets: one test for each rule of the protocol."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+
+import pytest
+
+from martentide.codec.messages import Code, Message, Type
+from tests.net.support import DESCRIPTION, Listener, Program, Wire, frame
+
+A, B = bytes.fromhex("0123456789abcdef"), bytes.fromhex("fedcba9876543210")
+
+
+def stand(caller: Wire, server: Wire, call: bytes = A) -> Message:
+    """Set a call up, through to the caller's answer."""
+    caller.set_up(call)
+    set_up = server.receive(Type.SET_UP)
+    server.send(Type.ANSWER, call, {Code.DESCRIPTION: DESCRIPTION[::-1]})
+    answer = caller.receive()
+    assert (answer.type, answer.call) == (Type.ANSWER, call)
+    assert answer.parameters == {Code.DESCRIPTION: DESCRIPTION[::-1]}
+    return set_up
+
+
+def test_a_call_goes_on_unchanged_stands_and_is_released(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        caller, server = program.caller(), program.servers[0].accept()
+        set_up = stand(caller, server)
+        assert set_up.call == A
+        assert 0 < int(set_up.parameters.pop(Code.TIME_LEFT)) <= 3000
+        assert set_up.parameters == {
+            Code.CLASS: b"voice", Code.NUMBER: b"7f3a", Code.DESCRIPTION: DESCRIPTION,
+        }  # fmt: skip
+        server.release(A, 16)
+        assert (released := caller.receive()).type == Type.RELEASE and released.cause() == 16
+
+
+def test_a_caller_ends_its_standing_call_on_any_connection(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        first, server = program.caller(), program.servers[0].accept()
+        stand(first, server)
+        first.sock.close()
+        program.logged("role=caller .*reason=peer-closed")
+        second = program.caller()
+        second.release(A, 16)
+        assert second.receive().type == Type.RELEASE_HEARD
+        assert server.receive().call == A
+
+
+def test_a_release_waits_for_the_partys_next_connection(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        first, server = program.caller(), program.servers[0].accept()
+        stand(first, server)
+        first.sock.close()
+        program.logged("role=caller .*reason=peer-closed")
+        server.release(A, 16)
+        assert program.caller().receive().call == A
+
+
+def test_a_test_of_the_front_passes(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        caller = program.caller()
+        caller.send(Type.TEST, A, {Code.CAUSE: b"\0"})
+        assert (result := caller.receive()).type == Type.TEST_RESULT and result.cause() == 1
+
+
+def test_one_answer_in_time_though_the_server_is_silent(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        caller = program.caller()
+        program.servers[0].accept()
+        caller.set_up(A, left=300)
+        caller.set_up(A, left=300)  # the same id again is no second call
+        assert (answer := caller.receive()).type == Type.RELEASE and answer.cause() not in (16, 34, 42, 102)
+        caller.set_up(B, left=300)
+        assert caller.receive().call == B  # nothing more about the first came before
+
+
+def test_a_call_given_up_is_given_up_at_the_server_and_owed_nothing(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        caller, server = program.caller(), program.servers[0].accept()
+        caller.set_up(A)
+        server.receive(Type.SET_UP)
+        caller.release(A, 16)
+        assert caller.receive().type == Type.RELEASE_HEARD
+        assert (give_up := server.receive()).call == A and give_up.cause() == 16
+        server.send(Type.ANSWER, A, {Code.DESCRIPTION: b"late"})  # crossing: not for the caller any more
+        stand(caller, server, B)
+
+
+def test_a_late_word_never_counts_for_the_next_attempt(tmp_path: Path) -> None:
+    """The first attempt is given up on time-out; its late answer must not answer the second attempt."""
+    with Program(tmp_path, servers=2) as program:
+        caller = program.caller()
+        servers = [listener.accept() for listener in program.servers]
+        caller.set_up(A)
+        set_up = servers[0].receive(Type.SET_UP)
+        given_up = servers[0].receive(Type.RELEASE)  # written before anything goes to the other server
+        over = time.monotonic()
+        assert (set_up.call, given_up.cause()) == (A, 16)
+        second = servers[1].receive(Type.SET_UP)
+        assert second.call == A and time.monotonic() - over > 0.15  # the release is awaited: 200 ms
+        servers[0].send(Type.ANSWER, A, {Code.DESCRIPTION: b"late"})
+        servers[1].send(Type.ANSWER, A, {Code.DESCRIPTION: b"good"})
+        assert caller.receive().parameters == {Code.DESCRIPTION: b"good"}
+
+
+def test_nothing_new_goes_to_a_draining_server(tmp_path: Path) -> None:
+    with Program(tmp_path, servers=2) as program:
+        caller, board = program.caller(), program.board.accept()
+        assert board.exactly(8) == (1).to_bytes(8, "big")
+        board.sock.sendall(frame(2, 2, (0, program.servers[0].port, 1)))
+        program.logged("server-listed server=s-00000000 state=draining")
+        other = program.servers[1].accept()
+        for call in (A, B):
+            stand(caller, other, call)  # though both name the draining server first
+
+
+def test_a_refused_connection_is_no_attempt_that_ran(tmp_path: Path) -> None:
+    with Program(tmp_path, servers=2) as program:
+        caller, first = program.caller(), program.servers[0].accept()
+        program.servers[0].close()
+        first.reset()
+        program.logged("reason=dial-refused")
+        stand(caller, program.servers[1].accept())
+
+
+def test_calls_of_a_dead_process_are_released_to_the_caller(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        caller, server = program.caller(), program.servers[0].accept()
+        stand(caller, server)
+        server.reset()
+        assert (released := caller.receive()).call == A and released.cause() == 41
+
+
+def test_an_idle_close_cuts_nothing_and_the_release_comes_on_the_next_link(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        caller, server = program.caller(), program.servers[0].accept()
+        stand(caller, server)
+        server.sock.close()
+        again = program.servers[0].accept()
+        again.release(A, 16)
+        assert (released := caller.receive()).call == A and released.cause() == 16
+
+
+def test_calls_of_a_server_that_is_gone_are_released(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        caller, server, board = program.caller(), program.servers[0].accept(), program.board.accept()
+        stand(caller, server)
+        board.sock.sendall(frame(2, 2, (0, program.servers[0].port, 2)))
+        assert caller.receive().cause() == 41
+        assert server.closed()
+        program.logged("role=server peer=s-00000000 reason=server-gone")
+
+
+def test_a_silent_board_is_dialled_again_with_the_last_number(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        board = program.board.accept()
+        board.exactly(8)
+        board.sock.sendall(frame(5, 2, (1, program.servers[0].port, 0)))
+        program.logged("role=board .*reason=silent")
+        assert program.board.accept().exactly(8) == (5).to_bytes(8, "big")
+
+
+@pytest.mark.parametrize("data", [b"\0\x03abc", b"\xff\xff", b"\0\x0c\x01" + A + b"\x81\0\x09"])
+def test_malformed_input_ends_that_connection_alone(tmp_path: Path, data: bytes) -> None:
+    with Program(tmp_path) as program:
+        bad, good, server = program.caller(), program.caller(), program.servers[0].accept()
+        bad.set_up(B)
+        assert server.receive(Type.SET_UP).call == B
+        bad.sock.sendall(data)
+        assert bad.closed()
+        program.logged("role=caller .*reason=malformed")
+        assert server.receive(Type.RELEASE).call == B  # its open call is settled
+        stand(good, server)
+
+
+def test_a_set_up_that_lacks_a_field_fails_and_unknown_ones_are_skipped(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        caller, server = program.caller(), program.servers[0].accept()
+        caller.send(Type.SET_UP, A, {Code.CLASS: b"voice"})
+        assert caller.receive().cause() == 100
+        caller.send(99, A, {7: b"?"})
+        caller.set_up(B, name=b"no such class")
+        assert caller.receive().cause() == 47
+        stand(caller, server, bytes(8))
+
+
+def test_a_blocked_caller_delays_only_itself(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        blocked, good, server = program.caller(), program.caller(), program.servers[0].accept()
+        blocked.sock.setblocking(False)
+        test = b"\0\x09\x34" + A  # its answers are never read
+        try:
+            while True:
+                blocked.sock.send(test * 1000)
+        except OSError:
+            pass
+        stand(good, server)
+        program.logged("role=caller .*reason=blocked")
+
+
+def test_calls_past_the_limit_are_refused(tmp_path: Path) -> None:
+    with Program(tmp_path, max_open=1) as program:
+        caller, server = program.caller(), program.servers[0].accept()
+        caller.set_up(A)
+        server.receive(Type.SET_UP)
+        caller.set_up(B)
+        assert (answer := caller.receive()).call == B and answer.cause() == 42
+
+
+def test_after_sigterm_late_arrivals_are_served_and_standing_calls_awaited(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        early, server = program.caller(), program.servers[0].accept()
+        stand(early, server)
+        program.terminate()
+        program.logged("stopping calls=1")
+        late = program.caller()  # a new connection, after the signal
+        stand(late, server, B)
+        server.release(B, 16)
+        server.release(A, 16)
+        assert (early.receive().call, late.receive().call) == (A, B)
+        program.logged("stopped")
+        assert program.process.wait(15) == 0
+
+
+def test_a_server_that_appears_is_used(tmp_path: Path) -> None:
+    with Program(tmp_path, servers=0) as program:
+        caller, board, late = program.caller(), program.board.accept(), Listener()
+        board.sock.sendall(frame(2, 2, (0, late.port, 0)))
+        stand(caller, late.accept())
+        late.close()
