--- a/tests/net/support.py
+++ b/tests/net/support.py
@@ -36,7 +36,9 @@
             "repeat": "read_like",
         }
     ],
-    "extra": {"layout": "groups", "own_number": -1, "pools_by_class": [[0, 1]], "release_ms": 200.0, "t1_ms": 800.0},
+    "extra": {
+        "layout": "groups", "own_number": -1, "pools_by_class": [[0, 1]], "release_ms": 200.0, "t1_ms": 800.0,
+    },
     "feedback": {"fields": ["spare", "total", "cut_by"], "how": "answers"},
     "limits": {
         "connect_timeout_ms": 500.0,
