Release the calls of a machine that is cut off after silence

Ruled out: lost releases on the caller's side (none owed). At fault: Server heard nothing and did nothing. Now a server that holds calls and says nothing for 1.5 s is tested; 2.5 s without a byte since something was sent ends its links (silent), cuts its calls and releases them there on the next link.

--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -24,7 +24,9 @@
 MOST_LINKS = 4  # to one server: so many get its group state
 TEST_LIMIT = 0.25  # s a test may take
 REDIAL_AFTER = (0.5, 1.0)  # s, drawn between the two, after a dial that failed or a link that ended
-SILENT_AFTER = 2.5  # s without a byte, with something unanswered, after which a link is doubted
+TEST_AFTER = 1.5  # s without a byte from a server that holds calls, after which it is tested
+TEST_AGAIN = 0.5  # s between such tests
+LOST_AFTER = 2.5  # s without a byte since something was sent: the machine is taken for cut off
 MOST_ABANDONED = 1024  # ids remembered for each link
 NO_LINE = "all_trunks_busy"
 ERRORS = (Cause.USER_BUSY, Cause.RESOURCE_UNAVAILABLE)
@@ -77,7 +79,13 @@
     pass
 
 
-Item = Order | Withdraw | Test | Listed | Received | LinkEnded | Dialled | PatienceOver | TestOver | RedialDue
+@dataclass(frozen=True, slots=True)
+class QuietDue:
+    pass
+
+
+Timer = PatienceOver | TestOver | RedialDue | QuietDue
+Item = Order | Withdraw | Test | Listed | Received | LinkEnded | Dialled | Timer
 
 
 class Server:
@@ -97,6 +105,9 @@
         self.owed: dict[bytes, bytes] = {}  # releases to write on the next link
         self.dialling: asyncio.Task[None] | None = None
         self.redial: asyncio.TimerHandle | None = None
+        self.heard_at = self.loop.time()
+        self.asked_at: float | None = None  # when the first thing was sent that is not followed by a byte yet
+        self.quiet = self.loop.call_later(TEST_AFTER, self.post, QuietDue())
         self.task = self.loop.create_task(self._run(), name=f"server {self.name}")
 
     def post(self, item: Item) -> None:
@@ -112,6 +123,7 @@
                 LOG.exception("internal-error server=%s item=%s", self.name, type(item).__name__)
             if isinstance(item, Received):
                 item.link.credit.release()
+        self.quiet.cancel()
         while not self.mailbox.empty():  # what crossed the word that the server is gone still gets its end
             late = self.mailbox.get_nowait()
             if isinstance(late, Order):
@@ -135,7 +147,8 @@
                 self._test()
             case TestOver():
                 self._end_test(item.test, Ending.TIMED_OUT, None)
-                self._doubt()
+            case QuietDue():
+                self._quiet_due()
             case RedialDue():
                 self.redial = None
                 self._dial()
@@ -168,6 +181,7 @@
             self._end(held, Ending.UNREACHABLE)
             return
         held.sent, held.link = self.loop.time(), way.link
+        self._ask()
         left = order.patience - (held.sent - held.ordered) * 1000.0
         way.link.write(
             write_message(
@@ -191,7 +205,6 @@
             return
         self._give_up(held)
         self._end(held, Ending.TIMED_OUT)
-        self._doubt()
 
     def _withdraw(self, item: Withdraw) -> None:
         held = self.held.get(item.call)
@@ -242,6 +255,7 @@
     # ---- what the server says ---------------------------------------------------------------------------
 
     def _received(self, link: Link, message: Message) -> None:
+        self.heard_at, self.asked_at = max(self.heard_at, link.heard_at), None
         match message.type:
             case Type.ANSWER:
                 self._answered(link, message)
@@ -346,6 +360,7 @@
         self.dialling = None
         if item.streams is not None:
             link = Link("server", self.name, item.streams, self.post)
+            self.heard_at, self.asked_at = self.loop.time(), None
             if self.listed.entry.state is ServerState.GONE:
                 link.close(Reason.SERVER_GONE)
             self.ways.append(Way(link))
@@ -390,11 +405,29 @@
             self._end(held, Ending.CUT)
         self.owed.clear()
 
-    def _doubt(self) -> None:
-        """Something went unanswered: where nothing at all came for long, see whether a new link comes up."""
+    def _quiet_due(self) -> None:
+        """Guards against machines that vanish or are cut off: they give no sign, and their calls, which end
+        there unheard, would stand here for ever. Silence is tested, and at its limit taken for the end."""
         now = self.loop.time()
-        if self.ways and now - self.ways[-1].link.heard_at > SILENT_AFTER:
-            self._dial()
+        again = TEST_AFTER - (now - self.heard_at)
+        if self.asked_at is not None and now - self.asked_at >= LOST_AFTER:
+            self.asked_at = None
+            for held in [held for held in self.held.values() if held.stands]:
+                self.owed[held.order.call] = write_release(held.order.call, Cause.NORMAL)
+                self._end(held, Ending.CUT)
+            for way in self.ways:
+                way.link.close(Reason.SILENT)
+        elif again <= 0 and self.held:
+            self._ask()
+            if self.ways:
+                test = next(self.test_numbers).to_bytes(8, "big")
+                self.ways[-1].link.write(write_message(Type.TEST, test, {Code.CAUSE: b"\0"}))
+        self.quiet = self.loop.call_later(max(TEST_AGAIN, again), self.post, QuietDue())
+
+    def _ask(self) -> None:
+        """Something is sent, or would be if a link were up, that a server in reach answers with some byte."""
+        if self.asked_at is None:
+            self.asked_at = self.loop.time()
 
     def _told(self, listed: Listed) -> None:
         restarted = (listed.entry.started or 0.0) > (self.listed.entry.started or 0.0)
--- a/tests/net/test_rules_on_sockets.py
+++ b/tests/net/test_rules_on_sockets.py
@@ -154,6 +154,16 @@
         program.logged("role=server peer=s-00000000 reason=server-gone")
 
 
+def test_calls_of_a_machine_cut_off_are_released_and_ended_there_once_it_is_back(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        caller, server = program.caller(), program.servers[0].accept()
+        stand(caller, server)
+        assert server.receive().type == Type.TEST  # asked for a sign of life, it gives none
+        assert caller.receive().cause() == 41
+        program.logged("role=server .*reason=silent")
+        assert program.servers[0].accept().receive(Type.RELEASE).call == A
+
+
 def test_a_silent_board_is_dialled_again_with_the_last_number(tmp_path: Path) -> None:
     with Program(tmp_path) as program:
         board = program.board.accept()
