Settle calls after faults, dead links and late dials; log shutdown

Checked by reading the code against the protocol, each with a test or a comment: - a fault in the decisions lost their next timer, so held calls were never looked at again (Decider._feed); - an answer for a caller's link that had just ended stood for nobody (Party._say); - an id given up was remembered as answered, so its repeat on a new connection got silence (_close); - a server gone in the middle of a dial left that connection open (Server._run); - links cancelled at the end were logged as internal faults; parties were kept for ever.

--- a/martentide/net/board.py
+++ b/martentide/net/board.py
@@ -76,9 +76,13 @@
             reason = Reason.PEER_RESET
         except OSError as error:
             reason, detail = (Reason.DIAL_ERROR if writer is None else Reason.IO_ERROR), str(error)
+        except asyncio.CancelledError:
+            reason = Reason.SHUTDOWN
+            raise
         except Exception:
             LOG.exception("internal-error board")
-        if writer is not None:
-            writer.close()
-        log_ended("board", str(self.address), reason, detail)
-        self.mailbox.put_nowait(FollowEnded())
+        finally:
+            if writer is not None:
+                writer.close()
+            log_ended("board", str(self.address), reason, detail)
+            self.mailbox.put_nowait(FollowEnded())
--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -55,8 +55,10 @@
 class Party:
     """The actor of one calling party; ``tell`` is the decider's mailbox."""
 
-    def __init__(self, host: str, tell: Callable[[Offer | GiveUp | ReleaseIn], None]) -> None:
-        self.host, self.tell = host, tell
+    def __init__(
+        self, host: str, tell: Callable[[Offer | GiveUp | ReleaseIn], None], leave: Callable[[str], None]
+    ) -> None:
+        self.host, self.tell, self.leave = host, tell, leave
         self.loop = asyncio.get_running_loop()
         self.mailbox: asyncio.Queue[Item] = asyncio.Queue()
         self.links: list[Link] = []
@@ -78,6 +80,11 @@
                     item.link.close(Reason.INTERNAL)
             if isinstance(item, Received):
                 item.link.credit.release()
+            if not (self.links or self.records or self.owed) and self.mailbox.empty():
+                self.leave(
+                    self.host
+                )  # nothing is known of the party any more: its next connection starts anew
+                return
 
     def _take(self, item: Item) -> None:
         match item:
@@ -170,11 +177,16 @@
         record = self.records.get(item.call)
         if record is None:
             return  # the caller has left; the decider is being told
+        link = record.link if record.link is not None and record.link.alive else None
+        if item.stands and link is None:
+            # Guards against a call that stands for nobody: its link ended as the answer was on its way.
+            del self.records[item.call]
+            self.tell(GiveUp(item.call))
+            return
         if item.stands:
             record.stands = True
         else:
             del self.records[item.call]
-        link = record.link if record.link is not None and record.link.alive else None
         if link is None and record.stands and not item.stands:
             link = next((link for link in reversed(self.links) if link.alive), None)
         if link is not None:
@@ -211,7 +223,7 @@
             log_ended("caller", f"{host}:{port}", Reason.TOO_MANY)
             return
         if host not in self.parties:
-            self.parties[host] = Party(host, self.tell)
+            self.parties[host] = Party(host, self.tell, self.parties.__delitem__)
         self.parties[host].post(Opened((reader, writer)))
 
     def close(self) -> None:
--- a/martentide/net/decider.py
+++ b/martentide/net/decider.py
@@ -117,7 +117,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Test:
+class Probing:
     """Ask a server for a sign of life and its report."""
 
 
@@ -144,7 +144,7 @@
 
 
 class ServerActor(Protocol):
-    def post(self, item: Order | Withdraw | Test | Listed) -> None: ...
+    def post(self, item: Order | Withdraw | Probing | Listed) -> None: ...
 
 
 @dataclass(frozen=True, slots=True)
@@ -228,11 +228,16 @@
         return self.now
 
     def _feed(self, event: Event) -> None:
-        actions = self.controller.handle(self._clock(), event)
-        if LOG.isEnabledFor(logging.DEBUG):
-            LOG.debug("decide now=%.1f event=%r actions=%r", self.now, event, actions)
-        for action in actions:
-            self._act(action)
+        try:
+            self.controller.handle(self._clock(), event)
+        finally:
+            # Also after an error in the decisions: what they had asked for by then, above all their next
+            # timer, is in their books as done, and without it they would not look at held calls again.
+            actions = self.controller.actions
+            if LOG.isEnabledFor(logging.DEBUG):
+                LOG.debug("decide now=%.1f event=%r actions=%r", self.now, event, actions)
+            for action in actions:
+                self._act(action)
 
     # ---- what the decisions ask -------------------------------------------------------------------------
 
@@ -243,7 +248,7 @@
             case Refuse() | Fail():
                 call = self.calls.get(action.ref)
                 if call is not None and not call.closed:
-                    self._close(call)
+                    self._close(call, answered=True)
                     if isinstance(action, Refuse):
                         call.offer.caller.refuse(call.offer.call, action.hold_off)
                     else:
@@ -257,7 +262,7 @@
             case Probe():
                 server = self.servers.get(action.server)
                 if server is not None:
-                    server.post(Test())
+                    server.post(Probing())
                 else:
                     self.post(ProbeEnded(action.server, Ending.UNREACHABLE, False, 0.0, None))
             case Note():
@@ -337,13 +342,14 @@
         self._caller_leaves(call.offer.call)
         call.offer.caller.fail(call.offer.call)
 
-    def _close(self, call: Call) -> None:
+    def _close(self, call: Call, answered: bool = False) -> None:
         """The caller has its final answer or has left; the entry stays while an attempt is out."""
         call.closed = True
         self.open_calls -= not call.stands
         call.overdue.cancel()
         self.by_id.pop(call.offer.call, None)
-        self.answered[call.offer.call] = None
+        if answered:  # one that was given up may come again, over a new connection, and is owed an answer
+            self.answered[call.offer.call] = None
         if len(self.answered) > REMEMBERED_IDS:
             self.answered.popitem(last=False)
         if call.out is None:
@@ -356,7 +362,7 @@
         if call is None or call.closed or call.stands:
             return
         self.controller.calls.pop(call.ref, None)
-        self._close(call)
+        self._close(call, answered=True)
         if call.out is not None and call.at is not None:
             call.at.post(Withdraw(call.ref, call.out, call.offer.call, hang_up=True))
         call.offer.caller.fail(call.offer.call)
@@ -365,7 +371,7 @@
 
     def _stood(self, item: Stood) -> None:
         call = self.calls.get(item.ref)
-        if call is None or call.closed or call.out != item.attempt:
+        if call is None or call.closed or call.stands or call.out != item.attempt:
             return  # the caller left meanwhile: the withdrawal on its way to the server ends the call there
         call.stands = True
         self.open_calls -= 1
@@ -379,7 +385,7 @@
             raise RuntimeError(f"the end of attempt {item.attempt} of call {item.ref}, which is not out")
         call.out = call.at = None
         if call.stands and not call.closed:
-            self._close(call)
+            self._close(call, answered=True)
             call.offer.caller.release(call.offer.call, item.ending is not Ending.DELIVERED)
         settled = call.closed
         if settled:
--- a/martentide/net/links.py
+++ b/martentide/net/links.py
@@ -79,6 +79,9 @@
             reason = Reason.PEER_RESET
         except OSError as error:
             reason, detail = Reason.IO_ERROR, str(error)
+        except asyncio.CancelledError:
+            reason = Reason.SHUTDOWN
+            raise
         except Exception as error:  # one bad peer must not take the program down
             detail = repr(error)
         finally:
--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -17,7 +17,7 @@
 from martentide.codec.figures import read_report
 from martentide.codec.messages import Cause, Code, Message, Type, write_message, write_release
 from martentide.interface import Ending, ProbeEnded, Report, ServerState
-from martentide.net.decider import Ended, Order, Stood, Test, Withdraw
+from martentide.net.decider import Ended, Order, Probing, Stood, Withdraw
 from martentide.net.endings import LOG, Reason, log_ended
 from martentide.net.links import Link, LinkEnded, Received
 
@@ -85,7 +85,7 @@
 
 
 Timer = PatienceOver | TestOver | RedialDue | QuietDue
-Item = Order | Withdraw | Test | Listed | Received | LinkEnded | Dialled | Timer
+Item = Order | Withdraw | Probing | Listed | Received | LinkEnded | Dialled | Timer
 
 
 class Server:
@@ -115,7 +115,7 @@
 
     async def _run(self) -> None:
         self._dial()
-        while not (self.listed.entry.state is ServerState.GONE and not self.ways and not self.held):
+        while not self._over():
             item = await self.mailbox.get()
             try:
                 self._take(item)
@@ -129,6 +129,10 @@
             if isinstance(late, Order):
                 self.tell(Ended(late.ref, late.attempt, self.name, Ending.NOT_SENT, False, 0.0, None))
 
+    def _over(self) -> bool:
+        gone = self.listed.entry.state is ServerState.GONE
+        return gone and not self.ways and not self.held and self.dialling is None
+
     def _take(self, item: Item) -> None:
         match item:
             case Order():
@@ -143,7 +147,7 @@
                 self._dialled(item)
             case LinkEnded():
                 self._link_ended(item.link, item.reason)
-            case Test():
+            case Probing():
                 self._test()
             case TestOver():
                 self._end_test(item.test, Ending.TIMED_OUT, None)
--- /dev/null
+++ b/tests/net/test_decider.py
@@ -0,0 +1,167 @@
+"""The decider between a scripted caller, a scripted server and the real or a failing module; no sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from martentide.codec.board import Listed, Notice
+from martentide.interface import Action, CancelAttempt, Ending, Event, SetTimer, SetUpOffered, Stands
+from martentide.net.decider import Decider, Ended, GiveUp, Offer, Order, Probing, Stood, Withdraw
+from martentide.rules import Controller
+from martentide.settings import settings_from
+from tests.net.support import SETTINGS
+from tests.support import entry
+
+CALL = bytes(7) + b"\1"
+AHEAD = 1e15
+
+
+class Told:
+    """A caller and a server in one: remembers what the decider tells it."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[Any, ...]] = []
+        self.orders: list[Order | Withdraw | Probing | Listed] = []
+
+    def answer(self, call: bytes, description: bytes) -> None:
+        self.calls.append(("answer", call, description))
+
+    def refuse(self, call: bytes, hold_off: float) -> None:
+        self.calls.append(("refuse", call))
+
+    def fail(self, call: bytes) -> None:
+        self.calls.append(("fail", call))
+
+    def release(self, call: bytes, cut: bool) -> None:
+        self.calls.append(("release", call, cut))
+
+    def post(self, item: Order | Withdraw | Probing | Listed) -> None:
+        self.orders.append(item)
+
+
+class Broken(Controller):
+    """Fails on every offer, after it has asked for its next timer."""
+
+    def handle(self, now: float, event: Event) -> list[Action]:
+        super().handle(now, event)
+        if isinstance(event, SetUpOffered):
+            self.actions = [SetTimer(1, 0.0)]
+            raise RuntimeError("a fault in the decisions")
+        return self.actions
+
+
+def offer(told: Told, call: bytes = CALL, left: float = 3000.0) -> Offer:
+    return Offer(told, call, b"voice", b"7f3a", b"desc", left, 0, AHEAD)
+
+
+def play(
+    script: Callable[[Decider, Told], None], module: type[Controller] = Controller
+) -> tuple[Decider, Told]:
+    """Run a script that posts, and let the decider take all of it."""
+
+    async def scene() -> tuple[Decider, Told]:
+        told = Told()
+        decider = Decider(module(settings_from(SETTINGS), 1), lambda listed, decider: told, 10)
+        decider.now = AHEAD  # ahead of the system's clock, which must not run backwards for the decisions
+        decider.follow(Notice(1, True, (Listed(entry("s-1", 0), "127.0.0.1", 1),)))
+        script(decider, told)
+        task = asyncio.create_task(decider.run())
+        while not decider.mailbox.empty():
+            await asyncio.sleep(0)
+        task.cancel()
+        return decider, told
+
+    return asyncio.run(scene())
+
+
+def stood(attempt: int = 0) -> Stood:
+    return Stood(1, attempt, "s-1", 20.0, b"good")
+
+
+def ended(ending: Ending, attempt: int = 0) -> Ended:
+    return Ended(1, attempt, "s-1", ending, False, 20.0, None)
+
+
+def test_a_fault_in_the_decisions_fails_the_call_and_keeps_their_timers() -> None:
+    """Guards against calls without an answer, and against decisions that sleep for good, after a fault."""
+    ticks: list[Event] = []
+
+    class Counting(Broken):
+        def handle(self, now: float, event: Event) -> list[Action]:
+            ticks.append(event)
+            return super().handle(now, event)
+
+    async def scene() -> Told:
+        told = Told()
+        decider = Decider(Counting(settings_from(SETTINGS), 1), lambda listed, decider: told, 10)
+        decider.post(offer(told))
+        task = asyncio.create_task(decider.run())
+        while len(ticks) < 2:  # the offer, then the timer that was asked for before the fault
+            await asyncio.sleep(0.001)
+        task.cancel()
+        assert not decider.calls and not decider.by_id and decider.open_calls == 0
+        return told
+
+    assert asyncio.run(asyncio.wait_for(scene(), 15)).calls == [("fail", CALL)]
+
+
+def test_an_answer_crossing_the_callers_give_up_reaches_nobody() -> None:
+    def script(decider: Decider, told: Told) -> None:
+        for item in (offer(told), GiveUp(CALL), stood(), ended(Ending.CANCELLED)):
+            decider.post(item)
+
+    decider, told = play(script)
+    assert told.calls == []
+    assert told.orders[-1] == Withdraw(1, 0, CALL, hang_up=True)
+    assert not decider.calls and decider.open_calls == 0
+
+
+def test_each_call_gets_one_answer_whatever_comes_after() -> None:
+    def script(decider: Decider, told: Told) -> None:
+        items = (offer(told), stood(), stood(), offer(told), ended(Ending.DELIVERED), ended(Ending.CUT))
+        for item in (*items, offer(told)):
+            decider.post(item)
+
+    decider, told = play(script)
+    assert told.calls == [("answer", CALL, b"good"), ("release", CALL, False)]
+    assert not decider.calls
+
+
+def test_a_call_given_up_may_come_again_and_is_answered() -> None:
+    """Guards against silence towards a caller whose connection broke and who sends the set-up once more."""
+
+    def script(decider: Decider, told: Told) -> None:
+        for item in (offer(told), GiveUp(CALL), ended(Ending.CANCELLED), offer(told)):
+            decider.post(item)
+        decider.post(Stood(2, 0, "s-1", 20.0, b"good"))
+
+    assert play(script)[1].calls == [("answer", CALL, b"good")]
+
+
+def test_the_clock_of_the_decisions_never_runs_backwards() -> None:
+    times: list[float] = []
+
+    class Timed(Controller):
+        def handle(self, now: float, event: Event) -> list[Action]:
+            times.append(now)
+            return super().handle(now, event)
+
+    play(lambda decider, told: decider.post(offer(told, left=1e16)), Timed)
+    assert times == sorted(times) and times[-1] >= AHEAD
+
+
+def test_a_withdrawal_asked_by_the_decisions_spares_a_call_that_stands() -> None:
+    class Withdrawing(Controller):
+        def handle(self, now: float, event: Event) -> list[Action]:
+            actions = super().handle(now, event)
+            if isinstance(event, Stands):
+                actions.append(CancelAttempt(event.ref, event.attempt))
+            return actions
+
+    def script(decider: Decider, told: Told) -> None:
+        decider.post(offer(told))
+        decider.post(stood())
+
+    assert play(script, Withdrawing)[1].orders[-1] == Withdraw(1, 0, CALL, hang_up=False)
