Cut only what is older than a restart; use no link that is ending

Found by reading Server._told: word of a restart comes seconds late, when links and calls of the new process may stand already, and all of them were cut. A test with both ages guards it.

--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Callable
@@ -19,7 +20,7 @@
 from martentide.interface import Ending, ProbeEnded, Report, ServerState
 from martentide.net.decider import Ended, Order, Probing, Stood, Withdraw
 from martentide.net.endings import LOG, Reason, log_ended
-from martentide.net.links import Link, LinkEnded, Received
+from martentide.net.links import Link, LinkEnded, Received, unix_ms
 
 MOST_LINKS = 4  # to one server: so many get its group state
 TEST_LIMIT = 0.25  # s a test may take
@@ -29,7 +30,6 @@
 LOST_AFTER = 2.5  # s without a byte since something was sent: the machine is taken for cut off
 MOST_ABANDONED = 1024  # ids remembered for each link
 NO_LINE = "all_trunks_busy"
-ERRORS = (Cause.USER_BUSY, Cause.RESOURCE_UNAVAILABLE)
 REFUSALS = {int(Cause.NO_CIRCUIT): Ending.FULL, int(Cause.TIMER_EXPIRY): Ending.NOT_SENT}
 
 
@@ -174,7 +174,8 @@
             # Checked here, as the first byte is written: what waited for a dial may not outlast a drain.
             self._end(held, Ending.NOT_SENT)
             return
-        way = next((way for way in reversed(self.ways) if order.call not in way.abandoned), None)
+        fit = (way for way in reversed(self.ways) if way.link.alive and order.call not in way.abandoned)
+        way = next(fit, None)
         if way is None:
             if len(self.ways) >= MOST_LINKS:
                 self._end(held, Ending.NOT_SENT)
@@ -403,9 +404,9 @@
             else:
                 self._redial_later()
 
-    def _cut_standing(self) -> None:
-        """The process that held the calls is dead; their callers must hear of it in time."""
-        for held in [held for held in self.held.values() if held.stands]:
+    def _cut_standing(self, before: float = math.inf) -> None:
+        """The process that held the calls sent by then is dead; their callers must hear of it in time."""
+        for held in [held for held in self.held.values() if held.stands and (held.sent or 0.0) < before]:
             self._end(held, Ending.CUT)
         self.owed.clear()
 
@@ -445,8 +446,10 @@
                 self._end_test(number, Ending.UNREACHABLE, None)
             for way in self.ways:
                 way.link.close(Reason.SERVER_GONE)
-        elif restarted:
+        elif restarted and listed.entry.started is not None:
+            # The word comes late: links and calls of the new process may be here already, and they stay.
+            start = self.loop.time() - (unix_ms() - listed.entry.started) / 1000.0
             for way in self.ways:
-                way.link.close(Reason.REPLACED)
-            self._cut_standing()
-            self._dial()
+                if way.link.opened_at < start:
+                    way.link.close(Reason.REPLACED)
+            self._cut_standing(before=start)
--- a/tests/net/support.py
+++ b/tests/net/support.py
@@ -139,11 +139,11 @@
     }  # fmt: skip
 
 
-def frame(number: int, kind: int, *records: tuple[int, int, int]) -> bytes:
+def frame(number: int, kind: int, *records: tuple[int, int, int], started: int = 0) -> bytes:
     """A frame of the board; records as (id, port, state)."""
     local = socket.inet_aton("127.0.0.1")
     body = FRAME.pack(number, kind) + b"".join(
-        RECORD.pack(name, local, port, state, 0, 0, name, 1000, 0) for name, port, state in records
+        RECORD.pack(name, local, port, state, 0, 0, name, 1000, started) for name, port, state in records
     )
     return LENGTH.pack(len(body)) + body
 
--- a/tests/net/test_rules_on_sockets.py
+++ b/tests/net/test_rules_on_sockets.py
@@ -164,6 +164,19 @@
         assert program.servers[0].accept().receive(Type.RELEASE).call == A
 
 
+@pytest.mark.parametrize(("age", "cause"), [(60.0, 16), (-60.0, 41)])
+def test_a_restart_told_late_cuts_only_what_is_older(tmp_path: Path, age: float, cause: int) -> None:
+    with Program(tmp_path) as program:
+        caller, server, board = program.caller(), program.servers[0].accept(), program.board.accept()
+        stand(caller, server)
+        started = int((time.time() - age) * 1000)
+        board.sock.sendall(frame(2, 2, (0, program.servers[0].port, 0), started=started))
+        if cause == 16:  # the link is younger than the start: it is the new process's
+            program.logged("server-listed .*number=2")
+            server.release(A, 16)
+        assert caller.receive().cause() == cause
+
+
 def test_a_silent_board_is_dialled_again_with_the_last_number(tmp_path: Path) -> None:
     with Program(tmp_path) as program:
         board = program.board.accept()
