Try suspect servers again sooner where aims are short

A debug log replayed into the module named the refusing guard: 'suspect' (6608, 2165 and 1865 refusals), then 'late'. Ruled out: images and lines. At fault: TRIAL_GAP (1.2 to 5 s) and TRIAL_SPREAD in _suspect, set for aims of a second; there the aims are 250 to 380 ms and a server stands still for 0.2 to 0.5 s. Now they shrink with the tolerable wait.

--- a/martentide/rules.py
+++ b/martentide/rules.py
@@ -57,6 +57,7 @@
 LONGEST_TRIAL_GAP = 5000.0  # ms between two trial calls at most
 FAULT_MEMORY = 0.3  # weight of one outcome in a server's share of faults
 FAULTY = 0.4  # share of faults above which a server is suspect: two in a row, not a stray one
+TRIALS_FOR = 600.0  # ms of tolerable wait that the trials' times are for: shorter where it is less
 TRIAL_SPREAD = 600.0  # ms, at random on top, so that the proxies' trials do not fall together
 
 # ---- cold servers ---------------------------------------------------------------------------------------
@@ -193,6 +194,7 @@
         self.tolerable = TOLERABLE_OF_AIM * shortest_aim
         if settings.repeat_interval > 0:
             self.tolerable = min(self.tolerable, settings.repeat_interval)
+        self.trial_scale = min(1.0, self.tolerable / TRIALS_FOR)
         self.window = OFFERED_WINDOW * math.sqrt(max(1.0, settings.proxies / FEW))
         self.part = min(1.0, FEW / max(1, settings.proxies))  # of a least allowance: all parts come to FEW
         self.first_tries: dict[str, float] = {}
@@ -601,14 +603,15 @@
         catch any server that stops answering. Harm: a server that loses one call is used little for a moment.
         """
         if not server.suspect:
-            server.suspect, server.suspect_from, server.trial_gap = True, now, TRIAL_GAP
+            server.suspect, server.suspect_from = True, now
+            server.trial_gap = TRIAL_GAP * self.trial_scale
             server.probe_due = server.failed_at = now
-        spread = self.random.random() * TRIAL_SPREAD
+        spread = self.random.random() * TRIAL_SPREAD * self.trial_scale
         server.trial_due, server.trial_turn = (
             now + server.trial_gap + spread,
             spread * (1.0 / self.part - 1.0),
         )
-        server.trial_gap = min(LONGEST_TRIAL_GAP, server.trial_gap * 2.0)
+        server.trial_gap = min(LONGEST_TRIAL_GAP * self.trial_scale, server.trial_gap * 2.0)
 
     # ---- cold servers -----------------------------------------------------------------------------------
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -529,3 +529,15 @@
     [send] = sends(bench.offer())
     bench.stand(send, 200.0)
     assert len(steady(bench, 12, gap=25.0)) > 2  # one each 200 ms would be 2
+
+
+def test_trials_come_sooner_where_aims_are_short() -> None:
+    """Guards against a server that stood still for a moment being kept out for many times the aim."""
+    bench = Bench(SHORT, servers=1)
+    [send] = sends(bench.offer())
+    bench.end(send.ref, "s0", Ending.TIMED_OUT)
+    server = bench.controller.servers["s0"]
+    assert server.suspect
+    scale = bench.controller.tolerable / rules.TRIALS_FOR
+    assert scale < 0.5
+    assert server.trial_due - bench.now <= (rules.TRIAL_GAP + rules.TRIAL_SPREAD) * scale
