Handle SIGHUP: read the file again and follow the board at its new address

Checked: cli.py and service.py set handlers for SIGTERM and SIGINT only, and Board had its address for good.

Now SIGHUP re-reads the file (cli.py `read`, service.py `reload`); Board takes `Moved`, leaves the old connection and dials with the last number held. A file that can't be used leaves one line and changes nothing. SIGHUP before the loop is up is ignored; the file is read after that.

The test fails without the change (the program ends).

--- a/martentide/cli.py
+++ b/martentide/cli.py
@@ -6,6 +6,7 @@
 import asyncio
 import logging
 import os
+import signal
 import sys
 from collections.abc import Sequence
 
@@ -46,8 +47,15 @@
     if options.command == "version":
         print(f"martentide {__version__}")
         return 0
+
+    def read() -> Config:
+        return load_config(os.environ, options.config)
+
+    if options.command == "serve":
+        # Guards against a reload that comes before the loop is up: the file is read after this, so it is new.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
-        config = load_config(os.environ, options.config)
+        config = read()
     except ConfigError as error:
         print(f"martentide: {error}", file=sys.stderr)
         return 2
@@ -61,7 +69,7 @@
         datefmt="%Y-%m-%dT%H:%M:%S",
     )
     try:
-        asyncio.run(serve(config))
+        asyncio.run(serve(config, read))
     except OSError as error:
         print(f"martentide: {config.listen}: {error.strerror or error}", file=sys.stderr)
         return 1
--- a/martentide/net/board.py
+++ b/martentide/net/board.py
@@ -19,7 +19,16 @@
 
 @dataclass(frozen=True, slots=True)
 class FollowEnded:
-    """The connection to the board is over, or none came up."""
+    """The ``attempt``-th connection to the board is over, or none came up."""
+
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Moved:
+    """The board is told at another address from now on; its numbers continue."""
+
+    address: Address
 
 
 class Board:
@@ -33,29 +42,44 @@
     ) -> None:
         self.address, self.last, self.zones, self.tell = address, last, zones, tell
         self.connect_timeout = connect_timeout
-        self.mailbox: asyncio.Queue[Notice | FollowEnded] = asyncio.Queue()
+        self.mailbox: asyncio.Queue[Notice | FollowEnded | Moved] = asyncio.Queue()
         self.following: asyncio.Task[None] | None = None
+        self.attempt = 0
+
+    def post(self, item: Moved) -> None:
+        self.mailbox.put_nowait(item)
 
     async def run(self) -> None:
-        self.following = asyncio.create_task(self._follow(self.last, 0.0), name="board")
+        self._dial(0.0)
         while True:
             item = await self.mailbox.get()
-            if isinstance(item, FollowEnded):
-                pause = random.uniform(*REDIAL_AFTER)
-                self.following = asyncio.create_task(self._follow(self.last, pause), name="board")
+            if isinstance(item, Moved):
+                # The old address may keep its connection open and tell nothing: it is left at once.
+                self.address = item.address
+                if self.following is not None:
+                    self.following.cancel()
+                self._dial(0.0)
+            elif isinstance(item, FollowEnded):
+                if item.attempt == self.attempt:  # not of a connection that a move has ended
+                    self._dial(random.uniform(*REDIAL_AFTER))
             elif item.number > self.last:  # one that comes twice tells nothing new
                 self.last = item.number
                 self.tell(item)
 
-    async def _follow(self, last: int, pause: float) -> None:
+    def _dial(self, pause: float) -> None:
+        self.attempt += 1
+        self.following = asyncio.create_task(self._follow(self.attempt, pause), name="board")
+
+    async def _follow(self, attempt: int, pause: float) -> None:
         """One connection, from its dial to its one log line."""
         await asyncio.sleep(pause)
+        address = self.address
         writer: asyncio.StreamWriter | None = None
         reason, detail = Reason.INTERNAL, ""
         try:
             async with asyncio.timeout(self.connect_timeout):
-                reader, writer = await asyncio.open_connection(self.address.host, self.address.port)
-            writer.write(write_number(last))
+                reader, writer = await asyncio.open_connection(address.host, address.port)
+            writer.write(write_number(self.last))
             while True:
                 async with asyncio.timeout(SILENCE):
                     head = await reader.readexactly(LENGTH.size)
@@ -77,12 +101,12 @@
         except OSError as error:
             reason, detail = (Reason.DIAL_ERROR if writer is None else Reason.IO_ERROR), str(error)
         except asyncio.CancelledError:
-            reason = Reason.SHUTDOWN
+            reason = Reason.SHUTDOWN if attempt == self.attempt else Reason.MOVED
             raise
         except Exception:
             LOG.exception("internal-error board")
         finally:
             if writer is not None:
                 writer.close()
-            log_ended("board", str(self.address), reason, detail)
-            self.mailbox.put_nowait(FollowEnded())
+            log_ended("board", str(address), reason, detail)
+            self.mailbox.put_nowait(FollowEnded(attempt))
--- a/martentide/net/endings.py
+++ b/martentide/net/endings.py
@@ -20,6 +20,7 @@
     SILENT = "silent"
     SERVER_GONE = "server-gone"
     REPLACED = "replaced"
+    MOVED = "moved"
     TOO_MANY = "too-many"
     SHUTDOWN = "shutdown"
     IO_ERROR = "io-error"
@@ -29,7 +30,7 @@
     DIAL_ERROR = "dial-error"
 
 
-QUIET = (Reason.PEER_CLOSED, Reason.SERVER_GONE, Reason.REPLACED, Reason.SHUTDOWN)
+QUIET = (Reason.PEER_CLOSED, Reason.SERVER_GONE, Reason.REPLACED, Reason.MOVED, Reason.SHUTDOWN)
 
 
 def log_ended(role: str, peer: str, reason: Reason, detail: str = "") -> None:
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import signal
+from collections.abc import Callable
 
 from martentide.codec.board import Listed, Notice
 from martentide.interface import ListKind, ServerState
-from martentide.net.board import Board
+from martentide.net.board import Board, Moved
 from martentide.net.callers import Callers
-from martentide.net.config import Config
+from martentide.net.config import Config, ConfigError
 from martentide.net.decider import Decider, ServerActor
 from martentide.net.endings import LOG, log_event
 from martentide.net.servers import Server
@@ -31,8 +33,25 @@
     return Notice(max((notice.number for notice in notices), default=0), True, present)
 
 
-async def serve(config: Config) -> None:
-    """Run until SIGTERM (or SIGINT) and until all that was taken by then is answered and over."""
+def reload(config: Config, read: Callable[[], Config], board: Board) -> Config:
+    """SIGHUP: the configuration that holds from now on; a bad file changes nothing."""
+    try:
+        new = read()
+    except ConfigError as error:
+        log_event("reload-failed", detail=repr(str(error)))
+        return config
+    # What an instance is born with (name, address, seed, settings) is the same until its next start.
+    fixed = ("name", "listen", "settings", "zones")
+    kept = [key for key in fixed if getattr(new, key) != getattr(config, key)]
+    log_event("reloaded", board=new.board, restart_needed_for=",".join(kept) or "nothing")
+    if new.board != config.board:
+        board.post(Moved(new.board))
+    return dataclasses.replace(config, board=new.board)
+
+
+async def serve(config: Config, read: Callable[[], Config]) -> None:
+    """Run until SIGTERM (or SIGINT) and until all that was taken by then is answered and over; ``read`` reads
+    the configuration anew."""
     LOG.debug("settings %r zones=%r known=%r", config.settings, config.zones, config.known)
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
@@ -46,6 +65,12 @@
     decider.follow(fold(config.known), ListKind.REMEMBERED)
     board = Board(config.board, config.known_number, config.zones, config.connect_timeout, decider.post)
     callers = Callers(int(config.sockets * CALLERS_SHARE), decider.post)
+
+    def hang_up() -> None:
+        nonlocal config
+        config = reload(config, read, board)
+
+    loop.add_signal_handler(signal.SIGHUP, hang_up)
     tasks = [
         asyncio.create_task(decider.run(), name="decider"),
         asyncio.create_task(board.run(), name="list"),
--- a/tests/net/support.py
+++ b/tests/net/support.py
@@ -206,6 +206,10 @@
     def caller(self) -> Wire:
         return Wire(socket.create_connection(("127.0.0.1", self.port), LIMIT))
 
+    def reload(self, text: str) -> None:
+        self.config.write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+
     def terminate(self) -> None:
         self.process.send_signal(signal.SIGTERM)
 
--- a/tests/net/test_rules_on_sockets.py
+++ b/tests/net/test_rules_on_sockets.py
@@ -186,6 +186,25 @@
         assert program.board.accept().exactly(8) == (5).to_bytes(8, "big")
 
 
+def test_sighup_moves_the_board_at_once_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        old, new = program.board.accept(), Listener()
+        old.exactly(8)
+        old.sock.sendall(frame(5, 2, (1, program.servers[0].port, 0)))
+        program.logged("server-listed .*number=5")
+        good = program.config.read_text()
+        program.reload(good[:-9])  # cut short
+        program.logged("reload-failed detail=")
+        program.reload(good.replace(f":{program.board.port}", f":{new.port}"))
+        moved = new.accept()
+        assert moved.exactly(8) == (5).to_bytes(8, "big")  # its numbers continue
+        moved.sock.sendall(frame(6, 2, (1, program.servers[0].port, 2)))
+        program.logged("server-listed .*state=gone number=6")
+        assert old.closed()
+        stand(program.caller(), program.servers[0].accept())
+        new.close()
+
+
 @pytest.mark.parametrize("data", [b"\0\x03abc", b"\xff\xff", b"\0\x0c\x01" + A + b"\x81\0\x09"])
 def test_malformed_input_ends_that_connection_alone(tmp_path: Path, data: bytes) -> None:
     with Program(tmp_path) as program:
