Judge a server by an error only once another server takes the same call

Checked in a trace: no image, hardly a time-out, 4 answers 'full'; but 91 errors within 0.2 ms each, all to calls of bad clients, whose ids no session server knows. Two in a row made each server suspect (rules.py `_judge`), and every usual caller waited for trials.

An error alone now says nothing of the server. When the call later stands elsewhere, the servers that had answered it with an error are blamed (`_blame`); after two errors the call itself is at fault and fails at once.

A debug line shows each set-up as it came.

--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -139,6 +139,7 @@
             log_event("duplicate-call", party=self.host, call=message.call.hex())
             return
         parts = message.parameters
+        LOG.debug("set-up party=%s call=%s parameters=%r", self.host, message.call.hex(), parts)
         try:
             offer = Offer(
                 caller=self,
--- a/martentide/rules.py
+++ b/martentide/rules.py
@@ -56,6 +56,7 @@
 LONG_SILENCE = 6000.0  # ms without a connection after which a server that answers again is taken for cold
 LONGEST_TRIAL_GAP = 5000.0  # ms between two trial calls at most
 FAULT_MEMORY = 0.3  # weight of one outcome in a server's share of faults
+MOST_ERRORS = 2  # answers with an error after which the call itself is taken to be at fault
 FAULTY = 0.4  # share of faults above which a server is suspect: two in a row, not a stray one
 TRIALS_FOR = 600.0  # ms of tolerable wait that the trials' times are for: shorter where it is less
 TRIAL_SPREAD = 600.0  # ms, at random on top, so that the proxies' trials do not fall together
@@ -178,6 +179,7 @@
     out: Server | None = None
     not_before: float = 0.0
     may_have_run: bool = False
+    erred: list[str] = field(default_factory=list)  # servers that answered it with an error
     asked: set[str] = field(default_factory=set)
     tried: set[str] = field(default_factory=set)
 
@@ -300,7 +302,9 @@
         return now if began is None or now - began > kind.deadline else began
 
     def _stands(self, now: float, event: Stands) -> None:
-        self.calls.pop(event.ref, None)
+        call = self.calls.pop(event.ref, None)
+        if call is not None:
+            self._blame(now, call, event.server)
         self.fresh.pop((event.ref, event.attempt), None)
         server = self.servers.get(event.server)
         if server is None:
@@ -340,6 +344,19 @@
             if call is not None and self.settings.may_cancel and call.kind.repeat is Repeat.HARMLESS:
                 self.actions.append(CancelAttempt(ref, attempt))
 
+    def _blame(self, now: float, call: Call, stood_at: str) -> None:
+        """The call stands, so the servers that answered it with an error before are at fault, not the call.
+
+        Guards against callers that offer what no server can use: their errors came at once, made all servers
+        suspect and shut everyone else out. Harm: a server that answers all with errors gets a few more calls.
+        """
+        for name in call.erred:
+            server = self.servers.get(name)
+            if server is not None and name != stood_at:
+                server.faults += FAULT_MEMORY * (1.0 - server.faults)
+                if server.faults > FAULTY:
+                    self._suspect(now, server)
+
     def _ended(self, now: float, event: AttemptEnded) -> None:
         self.fresh.pop((event.ref, event.attempt), None)
         server = self.servers.get(event.server)
@@ -355,11 +372,13 @@
             del self.calls[event.ref]
             return
         call.out = None
+        if event.ending is Ending.ERROR:
+            call.erred.append(event.server)
         if event.ending in (Ending.TIMED_OUT, Ending.CUT, Ending.CANCELLED, Ending.ERROR):
             call.may_have_run = True
         if event.ending in (Ending.TIMED_OUT, Ending.CUT, Ending.CANCELLED):
             call.not_before = now + self.settings.release
-        room = call.attempts < self.settings.max_attempts
+        room = call.attempts < self.settings.max_attempts and len(call.erred) < MOST_ERRORS
         again = room and (call.kind.repeat is Repeat.HARMLESS or not call.may_have_run)
         last = call.deadline - ANSWER_MARGIN
         if not again or max(now, call.not_before) >= last:
@@ -380,10 +399,6 @@
         elif event.ending is Ending.UNREACHABLE:
             self._suspect(now, server)
             server.silent = True
-        elif event.ending is Ending.ERROR and waiting:
-            server.faults += FAULT_MEMORY * (1.0 - server.faults)
-            if server.faults > FAULTY:
-                self._suspect(now, server)
         elif event.ending is Ending.TIMED_OUT and waiting:
             self._suspect(now, server)
             server.silent = True
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -296,6 +296,19 @@
     assert {send.server for send in steady(bench, 5, gap=100.0, first=0)} == {"s1"}
 
 
+def test_calls_that_no_server_can_use_make_none_suspect_and_fail_after_two() -> None:
+    """Guards against a caller that shuts all others out by offering what every server answers with an error."""
+    bench = Bench()
+    for _ in range(5):
+        [first] = sends(bench.offer(first=0))
+        [second] = sends(bench.end(first.ref, first.server, Ending.ERROR))
+        assert second.server != first.server
+        assert finals(bench.end(first.ref, second.server, Ending.ERROR, attempt=1)) == [Fail(first.ref)]
+        bench.advance(20)
+    assert not any(server.suspect for server in bench.controller.servers.values())
+    assert sends(bench.offer(first=0))
+
+
 def test_one_stray_error_does_not_make_a_server_suspect() -> None:
     bench = Bench()
     [send] = sends(bench.offer(first=0))
