Leave spoilt server links at once and cut no standing call for them; close mute callers

Ruled out by the trace: the server (other proxies were answered), load, images. At fault: links.py `_pump` (no limit on half a message), servers.py `_quiet_due` (one dead link taken for a lost server), `_link_ended` (a reset cut what stood). Now half a message ends the link after 60 ms (`stalled`); a link on which a set-up's whole time went by is doubted and another opened beside it; only silence of all links cuts calls, or a refused dial, or the list. What a lost answer may have made stand is released at the server.

At fault: callers.py `_accept` (counted late, turned away the newcomer), no word on duplicates (`_set_up`, decider `_offer`). Now a Door keeps the places: mute links close after 2 s or make room, the oldest first; a duplicate id ends its connection; set-ups without id (servers close on them) or with impossible figures are refused; a new link may have 64 open.

--- a/martentide/codec/figures.py
+++ b/martentide/codec/figures.py
@@ -42,5 +42,12 @@
 
 
 def read_first_choice(text: str) -> int:
-    """The place number of the server that a set-up names first, -1 for none: all the decisions need of it."""
-    return int(read_figures(text).get("dest", -1))
+    """The place number of the server that a set-up names first, -1 for none: all the decisions need of it.
+
+    Its other figures must still be possible ones: no server can use a call that has none.
+    """
+    figures = read_figures(text)
+    choice, width = figures.get("dest", -1.0), figures.get("width", 1.0)
+    if choice < -1 or width < 1 or not (choice.is_integer() and width.is_integer()):
+        raise CodecError(f"{text!r} holds an impossible figure")
+    return int(choice)
--- a/martentide/codec/messages.py
+++ b/martentide/codec/messages.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import struct
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import IntEnum
 
@@ -77,7 +78,7 @@
         return value[0] if value is not None and len(value) == 1 else None
 
 
-def body_length(head: bytes) -> int:
+def body_length(head: bytes | bytearray) -> int:
     """How many bytes follow the two of the length."""
     length = int.from_bytes(head, "big")
     if not LEAST_LENGTH <= length <= MOST_BYTES - 2:
@@ -85,6 +86,17 @@
     return length
 
 
+def split(received: bytearray) -> Iterator[bytes]:
+    """Take whole messages off the front, without their lengths; what is left was begun and is not whole."""
+    while len(received) >= 2:
+        end = 2 + body_length(received[:2])
+        if len(received) < end:
+            return
+        body = bytes(received[2:end])
+        del received[:end]
+        yield body
+
+
 def read_message(body: bytes) -> Message:
     """The message whose length has been taken off."""
     if len(body) < LEAST_LENGTH:
--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -7,18 +7,25 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from martentide.codec import CodecError
 from martentide.codec.figures import read_first_choice
-from martentide.codec.messages import Cause, Code, Message, Type, write_message, write_release
+from martentide.codec.messages import MOST_BYTES, Cause, Code, Message, Type, write_message, write_release
 from martentide.net.config import Address
 from martentide.net.decider import GiveUp, Offer, ReleaseIn
-from martentide.net.endings import LOG, Reason, log_ended, log_event
+from martentide.net.endings import LOG, Reason, log_event
 from martentide.net.links import Link, LinkEnded, Received
 
 MOST_OWED = 20_000  # releases kept for a party without a connection
+PROBATION = 2.0  # s in which a new connection must have brought something that can be answered
+PROBATION_AGAIN = 0.25  # s until the next look while its set-ups wait for their answers
+STALL = 1.5  # s in which a message begun by a caller must be whole
+ACCEPTED_AT_A_TIME = 32  # connections that are accepted before the door looks at them
+WAITING = 1024  # connections that wait in the system to be accepted
+FIRST_WINDOW = 64  # set-ups that may be open on a link, besides one for each that has stood
 OWED_FOR = 30.0  # s such a release is kept
 
 
@@ -32,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Opened:
-    streams: tuple[asyncio.StreamReader, asyncio.StreamWriter]
+    link: Link
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,12 +63,16 @@
     """The actor of one calling party; ``tell`` is the decider's mailbox."""
 
     def __init__(
-        self, host: str, tell: Callable[[Offer | GiveUp | ReleaseIn], None], leave: Callable[[str], None]
+        self,
+        host: str,
+        tell: Callable[[Offer | GiveUp | ReleaseIn], None],
+        leave: Callable[[str], None],
+        door: Door,
     ) -> None:
-        self.host, self.tell, self.leave = host, tell, leave
+        self.host, self.tell, self.leave, self.door = host, tell, leave, door
         self.loop = asyncio.get_running_loop()
         self.mailbox: asyncio.Queue[Item] = asyncio.Queue()
-        self.links: list[Link] = []
+        self.links: dict[Link, int] = {}  # and how many calls stood that came on it
         self.records: dict[bytes, Record] = {}
         self.owed: dict[bytes, bytes] = {}
         self.task = self.loop.create_task(self._run(), name=f"party {host}")
@@ -92,8 +103,8 @@
                 self._received(item)
             case Say():
                 self._say(item)
-            case Opened(streams):
-                self._opened(streams)
+            case Opened(link):
+                self._opened(link)
             case LinkEnded(link):
                 self._link_ended(link)
             case NoLongerOwed(call):
@@ -102,16 +113,21 @@
 
     # ---- links ------------------------------------------------------------------------------------------
 
-    def _opened(self, streams: tuple[asyncio.StreamReader, asyncio.StreamWriter]) -> None:
-        host, port = streams[1].get_extra_info("peername") or (self.host, 0)
-        link = Link("caller", f"{host}:{port}", streams, self.post)
-        self.links.append(link)
+    def welcome(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        port = (writer.get_extra_info("peername") or (self.host, 0))[1]
+        link = Link("caller", f"{self.host}:{port}", (reader, writer), self.post, STALL)
+        self.post(Opened(link))
+        self.door.arrived(link)
+
+    def _opened(self, link: Link) -> None:
+        self.links[link] = 0
         for release in self.owed.values():
             link.write(release)
         self.owed.clear()
 
     def _link_ended(self, link: Link) -> None:
-        self.links.remove(link)
+        del self.links[link]
+        self.door.left(link)
         for call in [call for call, record in self.records.items() if record.link is link]:
             if self.records[call].stands:
                 self.records[call].link = None
@@ -131,16 +147,29 @@
                 record = self.records.pop(message.call, None)
                 if record is not None:
                     self.tell(ReleaseIn(message.call) if record.stands else GiveUp(message.call))
+                    if not record.stands and record.link is not None:
+                        self.door.ended(record.link, answered=False)
+                    elif record.stands:
+                        self.door.of_use(link)
             case Type.TEST:
+                self.door.of_use(link)
                 link.write(write_message(Type.TEST_RESULT, message.call, {Code.CAUSE: b"\x01"}))
 
     def _set_up(self, link: Link, message: Message, at: float) -> None:
-        if message.call in self.records:
+        known = self.records.get(message.call)
+        if known is not None and known.link is not None and not known.link.alive and not known.stands:
+            # Sent once more, since its connection was closed as it came: that end is yet to be taken here.
+            self.tell(GiveUp(message.call))
+        elif known is not None:
+            # Guards against one answer for two set-ups, or two for one: which is whose could not be told.
             log_event("duplicate-call", party=self.host, call=message.call.hex())
+            link.close(Reason.DUPLICATE_ID)
             return
         parts = message.parameters
         LOG.debug("set-up party=%s call=%s parameters=%r", self.host, message.call.hex(), parts)
         try:
+            if not any(message.call):
+                raise CodecError("no id")  # servers can't read it and close, whatever else is open there
             offer = Offer(
                 caller=self,
                 call=message.call,
@@ -156,7 +185,13 @@
             log_event("bad-set-up", party=self.host, call=message.call.hex(), detail=repr(str(error)))
             link.write(write_release(message.call, Cause.INVALID_CONTENTS))
             return
+        if self.door.open.get(link, 0) >= FIRST_WINDOW + self.links[link]:
+            # Guards against hundreds of set-ups at once from one that has brought none that stood: a caller's
+            # window grows with what it has set up.
+            link.write(write_release(message.call, Cause.CONGESTION))
+            return
         self.records[message.call] = Record(link)
+        self.door.opened(link)
         self.tell(offer)
 
     # ---- what the decider says --------------------------------------------------------------------------
@@ -184,8 +219,11 @@
             del self.records[item.call]
             self.tell(GiveUp(item.call))
             return
-        if item.stands:
+        if not record.stands and record.link is not None:
+            self.door.ended(record.link, answered=True)
+        if item.stands and link is not None:
             record.stands = True
+            self.links[link] += 1
         else:
             del self.records[item.call]
         if link is None and record.stands and not item.stands:
@@ -203,29 +241,96 @@
     return float(text)
 
 
+class Door:
+    """The descriptors set aside for callers, and who gives one up when they run short.
+
+    A link is mute until something on it was answered, busy while a set-up on it is open, and rests otherwise.
+    Guards against floods of connections that say nothing: usual callers, who do, must still get in. Mute ones
+    are closed after PROBATION, and before, the oldest first, when room is needed; then the longest at rest.
+    """
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.loop = asyncio.get_running_loop()
+        self.mute: dict[Link, None] = {}
+        self.resting: dict[Link, None] = {}
+        self.open: dict[Link, int] = {}  # set-ups that are open, by link
+
+    def arrived(self, link: Link) -> None:
+        self.open[link] = 0
+        self.mute[link] = None
+        self.loop.call_later(PROBATION, self._probation_over, link)
+        if len(self.open) > self.most:
+            mute = (one for one in self.mute if one is not link and not self.open[one])
+            last = next(mute, None) or next(iter(self.resting), link)
+            self.left(last)
+            last.close(Reason.TOO_MANY)
+
+    def left(self, link: Link) -> None:
+        self.open.pop(link, None)
+        self.mute.pop(link, None)
+        self.resting.pop(link, None)
+
+    def opened(self, link: Link) -> None:
+        """A set-up is open on the link."""
+        if link in self.open:
+            self.open[link] += 1
+            self.resting.pop(link, None)
+
+    def ended(self, link: Link, answered: bool) -> None:
+        """A set-up on the link is open no more; ``answered``: it was told so."""
+        if link in self.open:
+            self.open[link] -= 1
+            if answered:
+                self.of_use(link)
+            elif self.open[link] == 0 and link not in self.mute:
+                self.resting[link] = None
+
+    def of_use(self, link: Link) -> None:
+        """Something on the link was answered."""
+        self.mute.pop(link, None)
+        self.resting.pop(link, None)
+        if self.open.get(link) == 0:
+            self.resting[link] = None
+
+    def _probation_over(self, link: Link) -> None:
+        if link not in self.mute:
+            return
+        if self.open[link]:  # it waits for an answer
+            self.loop.call_later(PROBATION_AGAIN, self._probation_over, link)
+            return
+        self.left(link)
+        link.close(Reason.MUTE)
+
+
 class Callers:
-    """The listener: hands each connection to its party's actor, up to the descriptors set aside for them."""
+    """The listener: hands each connection to its party's actor."""
 
     def __init__(self, most: int, tell: Callable[[Offer | GiveUp | ReleaseIn], None]) -> None:
-        self.most, self.tell = most, tell
+        self.door, self.tell = Door(most), tell
         self.parties: dict[str, Party] = {}
         self.server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> None:
-        self.server = await asyncio.start_server(self._accept, address.host, address.port, backlog=1024)
+        # So many are accepted at a time, whatever waits: a flood must not use up the descriptors before the
+        # door has closed any. Then the queue of those that wait is made long again.
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((address.host, address.port))
+        self.server = await asyncio.start_server(
+            self._accept, sock=listener, backlog=ACCEPTED_AT_A_TIME, limit=MOST_BYTES
+        )
+        listener.listen(WAITING)
 
     def addresses(self) -> list[tuple[str, int]]:
         return [sock.getsockname()[:2] for sock in self.server.sockets] if self.server else []
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        host, port = writer.get_extra_info("peername") or ("unknown", 0)
-        if sum(len(party.links) for party in self.parties.values()) >= self.most:
-            writer.close()
-            log_ended("caller", f"{host}:{port}", Reason.TOO_MANY)
-            return
+        host = (writer.get_extra_info("peername") or ("unknown", 0))[0]
         if host not in self.parties:
-            self.parties[host] = Party(host, self.tell, self.parties.__delitem__)
-        self.parties[host].post(Opened((reader, writer)))
+            self.parties[host] = Party(host, self.tell, self.parties.__delitem__, self.door)
+        self.parties[host].welcome(reader, writer)
 
     def close(self) -> None:
         if self.server is not None:
--- a/martentide/net/decider.py
+++ b/martentide/net/decider.py
@@ -181,7 +181,7 @@
         self.calls: dict[int, Call] = {}
         self.by_id: dict[bytes, Call] = {}
         self.open_calls = 0  # offered and neither answered nor standing
-        self.answered: OrderedDict[bytes, None] = OrderedDict()
+        self.answered: OrderedDict[bytes, int] = OrderedDict()  # and the caller
         self.listed: dict[str, Listed] = {}
         self.servers: dict[str, ServerActor] = {}
         self.closing = False
@@ -295,11 +295,12 @@
     # ---- what fronts say --------------------------------------------------------------------------------
 
     def _offer(self, offer: Offer) -> None:
-        if offer.call in self.by_id or offer.call in self.answered:
-            # Guards against a second answer: the id is in use or had its answer, which stays the only one.
+        known = self.by_id.get(offer.call)
+        if known is not None or self.answered.get(offer.call) == id(offer.caller):
+            # Guards against two calls under one id: it is in use, or this caller had its answer lately. It is
+            # not another caller's fault to come by it later. The answer of an open call stays the only one.
             log_event("duplicate-call", call=offer.call.hex())
-            known = self.by_id.get(offer.call)
-            if known is not None and known.offer.caller is not offer.caller:
+            if known is None or known.offer.caller is not offer.caller:
                 offer.caller.refuse(offer.call, 0.0)
             return
         standing = len(self.by_id) - self.open_calls
@@ -349,7 +350,7 @@
         call.overdue.cancel()
         self.by_id.pop(call.offer.call, None)
         if answered:  # one that was given up may come again, over a new connection, and is owed an answer
-            self.answered[call.offer.call] = None
+            self.answered[call.offer.call] = id(call.offer.caller)
         if len(self.answered) > REMEMBERED_IDS:
             self.answered.popitem(last=False)
         if call.out is None:
--- a/martentide/net/links.py
+++ b/martentide/net/links.py
@@ -11,11 +11,12 @@
 from dataclasses import dataclass
 
 from martentide.codec import CodecError
-from martentide.codec.messages import Message, body_length, read_message
+from martentide.codec.messages import MOST_BYTES, Message, read_message, split
 from martentide.net.endings import Reason, log_ended
 
 UNREAD = 64  # messages of one link that wait in its actor's mailbox at most; then the link reads no more
 MOST_UNSENT = 256 * 1024  # bytes that wait for a peer that does not read, before its link is given up
+SECOND_LOOK = 0.01  # s more for bytes that may lie ready as the time for a message runs out
 WRITE_LIMIT = 2.0  # s in which what waits must have gone out, or the peer is taken for blocked
 
 
@@ -49,8 +50,9 @@
         peer: str,
         streams: tuple[asyncio.StreamReader, asyncio.StreamWriter],
         post: Callable[[Received | LinkEnded], None],
+        stall: float,
     ) -> None:
-        self.role, self.peer, self.post = role, peer, post
+        self.role, self.peer, self.post, self.stall = role, peer, post, stall
         self.reader, self.writer = streams
         self.loop = asyncio.get_running_loop()
         self.opened_at = self.heard_at = self.loop.time()
@@ -59,20 +61,37 @@
         self.watch: asyncio.TimerHandle | None = None
         self.task = self.loop.create_task(self._pump(), name=f"link {role} {peer}")
 
+    async def _read(self, begun_at: float | None) -> bytes:
+        """The next bytes; a message that was begun must be whole within ``stall`` s, or the peer has stopped.
+
+        Guards against half a message, behind which nothing on the link can be read, and against endless ones.
+        The short second wait is for this process: had it been held up, the bytes may lie ready all the same.
+        """
+        if begun_at is None:
+            return await self.reader.read(MOST_BYTES)
+        try:
+            async with asyncio.timeout_at(begun_at + self.stall):
+                return await self.reader.read(MOST_BYTES)
+        except TimeoutError:
+            async with asyncio.timeout(SECOND_LOOK):
+                return await self.reader.read(MOST_BYTES)
+
     async def _pump(self) -> None:
         reason, detail = Reason.INTERNAL, ""
+        begun, begun_at = bytearray(), None
         try:
-            while True:
-                head = await self.reader.readexactly(2)
-                body = await self.reader.readexactly(body_length(head))
-                at = unix_ms()
-                self.heard_at = self.loop.time()
-                message = read_message(body)
-                await self.credit.acquire()
-                self.post(Received(self, message, at))
-        except asyncio.IncompleteReadError as error:
-            # The message's body may be cut off at its very first byte: then nothing of it is left to see.
-            reason = Reason.TRUNCATED if error.partial or error.expected != 2 else Reason.PEER_CLOSED
+            while data := await self._read(begun_at):
+                at, now = unix_ms(), self.loop.time()
+                begun += data
+                for body in split(begun):
+                    self.heard_at, begun_at = now, None
+                    message = read_message(body)
+                    await self.credit.acquire()
+                    self.post(Received(self, message, at))
+                begun_at = (begun_at or now) if begun else None
+            reason = Reason.TRUNCATED if begun else Reason.PEER_CLOSED
+        except TimeoutError:
+            reason = Reason.STALLED
         except CodecError as error:
             reason, detail = Reason.MALFORMED, str(error)
         except (ConnectionResetError, BrokenPipeError):
--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -27,6 +27,10 @@
 REDIAL_AFTER = (0.5, 1.0)  # s, drawn between the two, after a dial that failed or a link that ended
 TEST_AFTER = 1.5  # s without a byte from a server that holds calls, after which it is tested
 TEST_AGAIN = 0.5  # s between such tests
+STALL = (
+    0.06  # s in which a message begun by a server must be whole: its set-up can still go elsewhere in time
+)
+LIVED = 0.5  # s: a link that has ended sooner is not replaced at once, so that no server is dialled in a loop
 LOST_AFTER = 2.5  # s without a byte since something was sent: the machine is taken for cut off
 MOST_ABANDONED = 1024  # ids remembered for each link
 NO_LINE = "all_trunks_busy"
@@ -50,6 +54,7 @@
     """A link and the calls given up on it: a late word about one must not count for its next attempt."""
 
     link: Link
+    doubted: bool = False  # a set-up's whole time went by on it without a word: new ones go over another
     abandoned: OrderedDict[bytes, None] = field(default_factory=OrderedDict)
 
     def abandon(self, call: bytes) -> None:
@@ -174,8 +179,8 @@
             # Checked here, as the first byte is written: what waited for a dial may not outlast a drain.
             self._end(held, Ending.NOT_SENT)
             return
-        fit = (way for way in reversed(self.ways) if way.link.alive and order.call not in way.abandoned)
-        way = next(fit, None)
+        fit = [way for way in reversed(self.ways) if way.link.alive and order.call not in way.abandoned]
+        way = next((way for way in fit if not way.doubted), fit[0] if fit else None)
         if way is None:
             if len(self.ways) >= MOST_LINKS:
                 self._end(held, Ending.NOT_SENT)
@@ -209,8 +214,24 @@
             self._end(held, Ending.UNREACHABLE)
             return
         self._give_up(held)
+        self._doubt(held.link, held.sent)
         self._end(held, Ending.TIMED_OUT)
 
+    def _doubt(self, silent: Link | None, since: float) -> None:
+        """Open another link beside one on which nothing came since then.
+
+        Guards against a link that stays open and is of no further use, which must cost neither the set-ups to
+        come nor the calls that stand, as would taking the whole server for lost. Harm: one dial to a server
+        that only stood still.
+        """
+        for way in self.ways:
+            if way.link is silent and way.link.heard_at <= since:
+                way.doubted = True
+        if self.ways and all(way.doubted for way in self.ways):
+            if len(self.ways) >= MOST_LINKS:
+                self.ways[0].link.close(Reason.SILENT)
+            self._dial()
+
     def _withdraw(self, item: Withdraw) -> None:
         held = self.held.get(item.call)
         if held is None or (held.order.ref, held.order.attempt) != (item.ref, item.attempt):
@@ -261,6 +282,9 @@
 
     def _received(self, link: Link, message: Message) -> None:
         self.heard_at, self.asked_at = max(self.heard_at, link.heard_at), None
+        for way in self.ways:
+            if way.link is link:
+                way.doubted = False
         match message.type:
             case Type.ANSWER:
                 self._answered(link, message)
@@ -276,7 +300,7 @@
         description = message.parameters.get(Code.DESCRIPTION)
         if description is None:
             self._release(held)
-            self._end(held, Ending.ERROR)
+            self._end(held, Ending.CUT)
             return
         held.stands = True
         held.timer.cancel()
@@ -319,7 +343,7 @@
     def _test(self) -> None:
         number = next(self.test_numbers).to_bytes(8, "big")
         timer = self.loop.call_later(TEST_LIMIT, self.post, TestOver(number))
-        link = self.ways[-1].link if self.ways else None
+        link = next((way.link for way in reversed(self.ways) if not way.doubted), None)
         self.tests[number] = (self.loop.time(), timer, link)
         if link is not None:
             link.write(write_message(Type.TEST, number, {Code.CAUSE: b"\x01"}))
@@ -364,8 +388,9 @@
     def _dialled(self, item: Dialled) -> None:
         self.dialling = None
         if item.streams is not None:
-            link = Link("server", self.name, item.streams, self.post)
-            self.heard_at, self.asked_at = self.loop.time(), None
+            link = Link("server", self.name, item.streams, self.post, STALL)
+            if not self.ways:  # beside a silent link only a word proves that the server is there
+                self.heard_at, self.asked_at = self.loop.time(), None
             if self.listed.entry.state is ServerState.GONE:
                 link.close(Reason.SERVER_GONE)
             self.ways.append(Way(link))
@@ -392,14 +417,18 @@
         self.ways = [way for way in self.ways if way.link is not link]
         given_up = reason in (Reason.BLOCKED, Reason.SILENT)
         for held in [h for h in self.held.values() if h.link is link and not h.stands]:
+            if reason not in (Reason.SERVER_GONE, Reason.REPLACED):
+                # The server may have answered and hold the call: what could not be read may have said so.
+                self._release(held)
             self._end(held, Ending.TIMED_OUT if given_up else Ending.CUT)
         for number, test in list(self.tests.items()):
             if test[2] is link:
                 self._end_test(number, Ending.CUT, None)
-        if reason is Reason.PEER_RESET and not self.ways:
-            self._cut_standing()
+        # The end of a link, also by a reset, cuts no call that stands: that the process is dead shows when it
+        # is dialled and nobody listens, or by word of the list that it has started anew.
         if not self.ways:
-            if any(held.stands for held in self.held.values()) or self.owed:
+            waits = self.owed or any(held.stands for held in self.held.values())
+            if waits or self.loop.time() - link.opened_at > LIVED:
                 self._dial()  # releases come on the next link that opens, and they have limits
             else:
                 self._redial_later()
@@ -423,10 +452,17 @@
             for way in self.ways:
                 way.link.close(Reason.SILENT)
         elif again <= 0 and self.held:
+            if self.asked_at is not None:
+                for way in self.ways:
+                    self._doubt(way.link, self.asked_at)
             self._ask()
-            if self.ways:
+            for way in self.ways:
                 test = next(self.test_numbers).to_bytes(8, "big")
-                self.ways[-1].link.write(write_message(Type.TEST, test, {Code.CAUSE: b"\0"}))
+                way.link.write(write_message(Type.TEST, test, {Code.CAUSE: b"\0"}))
+        if any(way.link.heard_at > way.link.opened_at and not way.doubted for way in self.ways):
+            for way in self.ways:  # the server is there: what stays silent is of no use
+                if way.doubted and now - way.link.heard_at >= LOST_AFTER:
+                    way.link.close(Reason.SILENT)
         self.quiet = self.loop.call_later(max(TEST_AGAIN, again), self.post, QuietDue())
 
     def _ask(self) -> None:
--- a/tests/net/test_codec.py
+++ b/tests/net/test_codec.py
@@ -11,8 +11,10 @@
     MOST_BYTES,
     Code,
     Message,
+    Type,
     body_length,
     read_message,
+    split,
     write_message,
     write_release,
 )
@@ -94,6 +96,23 @@
     assert read_first_choice(text) == place
 
 
+@pytest.mark.parametrize("text", ["dest:-3;width:1", "dest:0.5", "dest:1;width:0", "dest:nan", "dest:x"])
+def test_impossible_figures_are_refused(text: str) -> None:
+    with pytest.raises(CodecError):
+        read_first_choice(text)
+
+
+def test_messages_are_split_off_whole_and_what_came_before_a_bad_one_is_kept() -> None:
+    whole = write_message(Type.TEST, bytes(8))
+    received = bytearray(whole + whole[:5])
+    assert list(split(received)) == [whole[2:]] and bytes(received) == whole[:5]
+    received += whole[5:] + b"\xff\xff"
+    bodies = split(received)
+    assert next(bodies) == whole[2:]
+    with pytest.raises(CodecError):
+        next(bodies)
+
+
 @pytest.mark.parametrize(
     ("kind", "state", "whole", "told"),
     [(1, 0, True, ServerState.OPEN), (2, 1, False, ServerState.DRAINING), (2, 2, False, ServerState.GONE)],
