Look at held calls as often as short aims need, try suspects sooner, ease by quick answers

A trace of the guards (n0): 2,770 draws held back by the image, 888 by waiting for a trial, while the server answered in 17 to 30 ms and stood idle for a second after each pause. At fault in rules.py: TICK 50 ms whatever the aims (12 ms of room needed where aims are 250 ms), TRIAL_GAP 1200 and LONGEST_TRIAL_GAP 5000, and `_pressure`, which let an asked share fade by time alone.

--- a/martentide/rules.py
+++ b/martentide/rules.py
@@ -37,6 +37,7 @@
 TOLERABLE_OF_AIM = 0.6  # share of the shortest aim (or one repeat interval, if shorter) a wait may take
 FULL_HOLD_BACK = 0.7  # share held back after a refusal by a full processor
 MOST_HELD_BACK = 0.98  # share: a report may ask for more, but some calls must go to bring the next report
+QUICK_EASE = 0.9  # times an earlier asked share with each answer that came without a wait: pauses end at once
 HOLD_BACK_FADE = 1500.0  # ms in which an earlier, higher asked share halves once reports ask less
 
 # ---- lines ----------------------------------------------------------------------------------------------
@@ -52,9 +53,9 @@
 OVERTAKEN = 60.0  # ms: a set-up sent so much before one that stands is lost; links vary by less
 MOST_OUT = 2  # unanswered set-ups at a server, or so many times what it is offered in one SLOW_LAG
 SLOW_LAG = 150.0  # ms: a server whose last set-up took longer gets in such a lag what it gets in SLOW_LAG
-TRIAL_GAP = 1200.0  # ms before the first single trial call to a suspect server; doubles with each that fails
+TRIAL_GAP = 300.0  # ms before the first single trial call to a suspect server; doubles with each that fails
 LONG_SILENCE = 6000.0  # ms without a connection after which a server that answers again is taken for cold
-LONGEST_TRIAL_GAP = 5000.0  # ms between two trial calls at most
+LONGEST_TRIAL_GAP = 2000.0  # ms between two trial calls at most
 FAULT_MEMORY = 0.3  # weight of one outcome in a server's share of faults
 MOST_ERRORS = 2  # answers with an error after which the call itself is taken to be at fault
 FAULTY = 0.4  # share of faults above which a server is suspect: two in a row, not a stray one
@@ -92,7 +93,7 @@
 OLD_NEWS = 2000.0  # ms after which a wait is told and believed no more
 
 # ---- the clock ------------------------------------------------------------------------------------------
-TICK = 50.0  # ms between two looks at held calls, while there are any
+TICK = 50.0  # ms between two looks at held calls, while there are any; less where aims are short
 CARE_GAP = 250.0  # ms between two looks at pace, tenants and probes
 PROBE_GAP = 1000.0  # ms between two probes of a server in a small fleet
 TICK_TOKEN = 1
@@ -197,6 +198,7 @@
         if settings.repeat_interval > 0:
             self.tolerable = min(self.tolerable, settings.repeat_interval)
         self.trial_scale = min(1.0, self.tolerable / TRIALS_FOR)
+        self.tick = TICK * self.trial_scale  # where aims are short, a slower look leaves servers idle
         self.window = OFFERED_WINDOW * math.sqrt(max(1.0, settings.proxies / FEW))
         self.part = min(1.0, FEW / max(1, settings.proxies))  # of a least allowance: all parts come to FEW
         self.first_tries: dict[str, float] = {}
@@ -445,7 +447,7 @@
     def _look_again(self) -> None:
         if not self.ticking:
             self.ticking = True
-            self.actions.append(SetTimer(TICK_TOKEN, TICK))
+            self.actions.append(SetTimer(TICK_TOKEN, self.tick))
 
     def _window_full(self, now: float) -> bool:
         """Whether so much is unanswered, at all servers together, that one more has to wait.
@@ -581,7 +583,8 @@
             share = max(share, self._level(wait))
         image = server.image if server.image is not None and now < server.image.expires else None
         if image is not None:
-            share = max(share, image.hold_back * 0.5 ** ((now - image.reported) / HOLD_BACK_FADE))
+            ease = QUICK_EASE if wait is not None and share == 0.0 else 1.0
+            share = max(share, image.hold_back * ease * 0.5 ** ((now - image.reported) / HOLD_BACK_FADE))
         if share < LEVELS[0][1] / 2:
             server.image = None
             return
