Close no link of a party that has calls while others can make room

Ruled out: the servers' links (one reset), the decider (every AttemptEnded came), restarts (the first came at 8.7 s, the first loss at 6.6 s). At fault: callers.py Door, which took a link that says nothing for mute, and PROBATION likewise: a party may wait on it for its releases. Parties with calls or owed releases are known now, and their links go last.

--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -21,7 +21,7 @@
 
 MOST_OWED = 20_000  # releases kept for a party without a connection
 PROBATION = 2.0  # s in which a new connection must have brought something that can be answered
-PROBATION_AGAIN = 0.25  # s until the next look while its set-ups wait for their answers
+PROBATION_AGAIN = 0.25  # s until the next look while it waits for an answer or a release
 STALL = 1.5  # s in which a message begun by a caller must be whole
 ACCEPTED_AT_A_TIME = 32  # connections that are accepted before the door looks at them
 WAITING = 1024  # connections that wait in the system to be accepted
@@ -91,6 +91,7 @@
                     item.link.close(Reason.INTERNAL)
             if isinstance(item, Received):
                 item.link.credit.release()
+            self.door.calls(self.host, bool(self.records or self.owed))
             if not (self.links or self.records or self.owed) and self.mailbox.empty():
                 self.leave(
                     self.host
@@ -117,7 +118,7 @@
         port = (writer.get_extra_info("peername") or (self.host, 0))[1]
         link = Link("caller", f"{self.host}:{port}", (reader, writer), self.post, STALL)
         self.post(Opened(link))
-        self.door.arrived(link)
+        self.door.arrived(link, self.host)
 
     def _opened(self, link: Link) -> None:
         self.links[link] = 0
@@ -255,19 +256,34 @@
         self.mute: dict[Link, None] = {}
         self.resting: dict[Link, None] = {}
         self.open: dict[Link, int] = {}  # set-ups that are open, by link
+        self.host: dict[Link, str] = {}
+        self.calling: set[str] = set()  # parties that have calls
 
-    def arrived(self, link: Link) -> None:
-        self.open[link] = 0
+    def arrived(self, link: Link, host: str) -> None:
+        self.open[link], self.host[link] = 0, host
         self.mute[link] = None
         self.loop.call_later(PROBATION, self._probation_over, link)
         if len(self.open) > self.most:
-            mute = (one for one in self.mute if one is not link and not self.open[one])
-            last = next(mute, None) or next(iter(self.resting), link)
+            last = self._dearest(link)
             self.left(last)
             last.close(Reason.TOO_MANY)
 
+    def calls(self, host: str, any_left: bool) -> None:
+        """Whether the party has calls, or releases to hear: it may wait for them on quiet links."""
+        if any_left:
+            self.calling.add(host)
+        else:
+            self.calling.discard(host)
+
+    def _dearest(self, newcomer: Link) -> Link:
+        """The link to be closed: of a party without calls if there is one, mute before resting."""
+        idle = [one for one in (*self.mute, *self.resting) if one is not newcomer and not self.open[one]]
+        free = (one for one in (*idle, newcomer) if self.host[one] not in self.calling)
+        return next(free, idle[0] if idle else newcomer)
+
     def left(self, link: Link) -> None:
         self.open.pop(link, None)
+        self.host.pop(link, None)
         self.mute.pop(link, None)
         self.resting.pop(link, None)
 
@@ -296,7 +312,7 @@
     def _probation_over(self, link: Link) -> None:
         if link not in self.mute:
             return
-        if self.open[link]:  # it waits for an answer
+        if self.open[link] or self.host[link] in self.calling:  # it waits for an answer or a release
             self.loop.call_later(PROBATION_AGAIN, self._probation_over, link)
             return
         self.left(link)
--- a/tests/net/support.py
+++ b/tests/net/support.py
@@ -203,8 +203,8 @@
             if found:
                 return found
 
-    def caller(self) -> Wire:
-        return Wire(socket.create_connection(("127.0.0.1", self.port), LIMIT))
+    def caller(self, host: str = "127.0.0.1") -> Wire:
+        return Wire(socket.create_connection(("127.0.0.1", self.port), LIMIT, (host, 0)))
 
     def reload(self, text: str) -> None:
         self.config.write_text(text)
--- a/tests/net/test_rules_on_sockets.py
+++ b/tests/net/test_rules_on_sockets.py
@@ -203,6 +203,20 @@
         assert quiet.receive().call == B
 
 
+def test_a_flood_takes_no_link_of_a_party_that_has_calls(tmp_path: Path) -> None:
+    """Guards against releases that reach nobody: a party may wait for them on a link that says nothing."""
+    with Program(tmp_path) as program:
+        server, first = program.servers[0].accept(), program.caller("127.0.0.2")
+        stand(first, server)
+        waiting = program.caller("127.0.0.2")
+        first.sock.close()
+        flood = [program.caller() for _ in range(100)]
+        assert flood[0].closed() and flood[60].closed()
+        program.logged("role=caller .*reason=mute")  # so much later the waiting one is still there
+        server.release(A, 16)
+        assert waiting.receive().call == A
+
+
 def test_an_id_in_use_ends_the_connection_that_brings_it_again(tmp_path: Path) -> None:
     with Program(tmp_path) as program:
         caller, server = program.caller(), program.servers[0].accept()
