Open another link beside a silent one while its set-ups still wait

The log has 12 links that ended as silent or stalled while the same server answered other proxies; a draining and a replaced server came later and cost little. At fault: servers.py opened another link only after a set-up's whole time (300 ms and more), sent on into the dead one, and told the decisions of a time-out of the server. Now 120 ms without a word open another link, and a set-up whose link stayed silent while the server spoke on another ends as cut.

--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -30,6 +30,7 @@
 STALL = (
     0.06  # s in which a message begun by a server must be whole: its set-up can still go elsewhere in time
 )
+DOUBT_AFTER = 0.12  # s without a word on a link since a set-up, after which another is opened beside it
 LIVED = 0.5  # s: a link that has ended sooner is not replaced at once, so that no server is dialled in a loop
 LOST_AFTER = 2.5  # s without a byte since something was sent: the machine is taken for cut off
 MOST_ABANDONED = 1024  # ids remembered for each link
@@ -47,6 +48,7 @@
     sent: float | None = None
     link: Link | None = None
     stands: bool = False
+    doubt: asyncio.TimerHandle | None = None
 
 
 @dataclass(slots=True)
@@ -74,6 +76,11 @@
     order: Order
 
 
+@dataclass(frozen=True, slots=True)
+class DoubtDue:
+    held: Held
+
+
 @dataclass(frozen=True, slots=True)
 class TestOver:
     test: bytes
@@ -89,7 +96,7 @@
     pass
 
 
-Timer = PatienceOver | TestOver | RedialDue | QuietDue
+Timer = PatienceOver | DoubtDue | TestOver | RedialDue | QuietDue
 Item = Order | Withdraw | Probing | Listed | Received | LinkEnded | Dialled | Timer
 
 
@@ -148,6 +155,9 @@
                 self._received(item.link, item.message)
             case PatienceOver():
                 self._patience_over(item.order)
+            case DoubtDue(held):
+                if held.sent is not None and self.held.get(held.order.call) is held and not held.stands:
+                    self._doubt(held.link, held.sent)
             case Dialled():
                 self._dialled(item)
             case LinkEnded():
@@ -191,6 +201,7 @@
             self._end(held, Ending.UNREACHABLE)
             return
         held.sent, held.link = self.loop.time(), way.link
+        held.doubt = self.loop.call_later(DOUBT_AFTER, self.post, DoubtDue(held))
         self._ask()
         left = order.patience - (held.sent - held.ordered) * 1000.0
         way.link.write(
@@ -215,7 +226,10 @@
             return
         self._give_up(held)
         self._doubt(held.link, held.sent)
-        self._end(held, Ending.TIMED_OUT)
+        silent = any(way.link is held.link and way.link.heard_at <= held.sent for way in self.ways)
+        elsewhere = any(way.link.heard_at > max(held.sent, way.link.opened_at) for way in self.ways)
+        # The server spoke on another link meanwhile: the time-out is the silent link's, not the server's.
+        self._end(held, Ending.CUT if silent and elsewhere else Ending.TIMED_OUT)
 
     def _doubt(self, silent: Link | None, since: float) -> None:
         """Open another link beside one on which nothing came since then.
@@ -272,6 +286,8 @@
         self, held: Held, ending: Ending, lines_full: bool = False, report: Report | None = None
     ) -> None:
         held.timer.cancel()
+        if held.doubt is not None:
+            held.doubt.cancel()
         del self.held[held.order.call]
         since = held.ordered if held.sent is None else held.sent
         lag = (self.loop.time() - since) * 1000.0
@@ -304,6 +320,8 @@
             return
         held.stands = True
         held.timer.cancel()
+        if held.doubt is not None:
+            held.doubt.cancel()
         lag = (self.loop.time() - (held.sent or held.ordered)) * 1000.0
         self.tell(Stood(held.order.ref, held.order.attempt, self.name, lag, description))
 
--- a/tests/net/test_rules_on_sockets.py
+++ b/tests/net/test_rules_on_sockets.py
@@ -179,6 +179,18 @@
         assert (released := caller.receive()).call == A and released.cause() == 16
 
 
+def test_another_link_is_opened_while_a_set_up_still_waits_on_a_silent_one(tmp_path: Path) -> None:
+    """Guards against sending into a dead link until the first set-up's whole time is over."""
+    with Program(tmp_path) as program:
+        caller, silent = program.caller(), program.servers[0].accept()
+        caller.set_up(A, left=3000)
+        silent.receive(Type.SET_UP)
+        program.servers[0].accept()
+        silent.sock.setblocking(False)
+        with pytest.raises(BlockingIOError):  # it has not been given up yet
+            silent.sock.recv(1)
+
+
 @pytest.mark.parametrize(("data", "reason"), [(b"", "mute"), (b"\0\x20\x01", "stalled")])
 def test_a_caller_that_says_nothing_whole_is_closed(tmp_path: Path, data: bytes, reason: str) -> None:
     with Program(tmp_path) as program:
