Lay the seam for external processors: carriers, lifecycle, limits, operator's file

Need: other installations keep their own front proxy and want the decisions only. An attempt was always carried by the program's own server actor; now an offer may bring a Carrier that does it, and both feed the one Controller.

Not wired to sockets yet: off everywhere.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: ``python -m benchmarks.NAME``."""
--- a/martentide/__main__.py
+++ b/martentide/__main__.py
@@ -1,5 +1,11 @@
 """``python -m martentide``: see ``martentide/cli.py``."""
 
-from martentide.cli import main
+import sys
 
-raise SystemExit(main())
+# asyncio takes in the standard library's TLS wherever it is found. Nothing here speaks it, and a proxy on a
+# small machine has better use for 4 MB. (gRPC, where the operator turns it on, brings its own.)
+sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
+
+from martentide.cli import main  # noqa: E402
+
+main()
--- a/martentide/cli.py
+++ b/martentide/cli.py
@@ -1,34 +1,78 @@
-"""The command line: serve, check-config, version."""
+"""The command line: serve, check-config, version. The options are click's; exit codes are in the README."""
 
 from __future__ import annotations
 
-import argparse
 import asyncio
-import logging
 import os
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from typing import Any
 
-from martentide import __version__
+import click
+
+from martentide import __version__, log
 from martentide.net.config import Config, ConfigError, load_config
 from martentide.net.service import serve
 
+BAD_CONFIG, CANNOT_LISTEN = 2, 1
+
+
+class Default(click.Group):
+    """A group whose ``serve`` is run where no command is named."""
+
+    def parse_args(self, ctx: click.Context, args: list[str]) -> list[str]:
+        return super().parse_args(ctx, args or ["serve"])
+
+
+def config_options(command: Callable[..., Any]) -> Callable[..., Any]:
+    command = click.option(
+        "--operator", metavar="FILE", help="operator's settings (KDL); default: $MARTENTIDE_OPERATOR"
+    )(command)
+    return click.option("--config", metavar="FILE", help="configuration; default: $PROXY_CONFIG")(command)
+
+
+@click.group(cls=Default, invoke_without_command=False, help="Signalling proxy with shared decisions.")
+def top() -> None:
+    pass
+
+
+@top.command("version", help="Print the version and exit.")
+def version() -> None:
+    click.echo(f"martentide {__version__}")
+
+
+@top.command("check-config", help="Read the configuration, say what it holds and exit.")
+@config_options
+def check_config(config: str | None, operator: str | None) -> None:
+    read = load_or_exit(config, operator)
+    click.echo(summary(read))
+    if read.operator is not None:
+        click.echo(read.operator.summary())
 
-def parser() -> argparse.ArgumentParser:
-    top = argparse.ArgumentParser(prog="martentide", description="Signalling proxy with shared decisions.")
-    commands = top.add_subparsers(dest="command", metavar="COMMAND")
-    for name, text in (
-        ("serve", "serve calls until SIGTERM (the default)"),
-        ("check-config", "read the configuration, say what it holds and exit"),
-    ):
-        command = commands.add_parser(name, help=text, description=text)
-        command.add_argument("--config", metavar="FILE", help="configuration; default: $PROXY_CONFIG")
-        command.add_argument(
-            "--log-level", default="info", choices=("debug", "info", "warning", "error"), help="default: info"
-        )
-    commands.add_parser("version", help="print the version and exit")
-    return top
+
+@top.command("serve", help="Serve calls until SIGTERM (the default).")
+@config_options
+@click.option("--log-level", type=click.Choice(list(log.LEVELS)), default="info", show_default=True)
+@click.option("--log-format", type=click.Choice(log.FORMATS), default="text", show_default=True)
+def serve_command(config: str | None, operator: str | None, log_level: str, log_format: str) -> None:
+    # Guards against a reload that comes before the loop is up: the file is read after this, so it is new.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    read = load_or_exit(config, operator)
+    log.configure(log_level, log_format)
+    try:
+        asyncio.run(serve(read, lambda: load_config(os.environ, config, operator)))
+    except OSError as error:
+        click.echo(f"martentide: {read.listen}: {error.strerror or error}", err=True)
+        sys.exit(CANNOT_LISTEN)
+
+
+def load_or_exit(config: str | None, operator: str | None) -> Config:
+    try:
+        return load_config(os.environ, config, operator)
+    except ConfigError as error:
+        click.echo(f"martentide: {error}", err=True)
+        sys.exit(BAD_CONFIG)
 
 
 def summary(config: Config) -> str:
@@ -40,37 +84,6 @@
     )
 
 
-def main(arguments: Sequence[str] | None = None) -> int:
+def main(arguments: Sequence[str] | None = None) -> None:
     """0 at a planned end, 2 for a configuration that can't be used (one line on standard error)."""
-    wanted = sys.argv[1:] if arguments is None else list(arguments)
-    options = parser().parse_args(wanted or ["serve"])
-    if options.command == "version":
-        print(f"martentide {__version__}")
-        return 0
-
-    def read() -> Config:
-        return load_config(os.environ, options.config)
-
-    if options.command == "serve":
-        # Guards against a reload that comes before the loop is up: the file is read after this, so it is new.
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    try:
-        config = read()
-    except ConfigError as error:
-        print(f"martentide: {error}", file=sys.stderr)
-        return 2
-    if options.command == "check-config":
-        print(summary(config))
-        return 0
-    logging.basicConfig(
-        level=options.log_level.upper(),
-        stream=sys.stderr,
-        format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
-        datefmt="%Y-%m-%dT%H:%M:%S",
-    )
-    try:
-        asyncio.run(serve(config, read))
-    except OSError as error:
-        print(f"martentide: {config.listen}: {error.strerror or error}", file=sys.stderr)
-        return 1
-    return 0
+    top.main(args=None if arguments is None else list(arguments), prog_name="martentide")
--- /dev/null
+++ b/martentide/decisions/v1/__init__.py
@@ -0,0 +1,1 @@
+"""Generated from ``proto/`` by ``python -m tools.protos``."""
--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -86,7 +86,7 @@
             try:
                 self._take(item)
             except Exception:
-                LOG.exception("internal-error party=%s item=%s", self.host, type(item).__name__)
+                LOG.exception("internal-error", party=self.host, item=type(item).__name__)
                 if isinstance(item, Received):
                     item.link.close(Reason.INTERNAL)
             if isinstance(item, Received):
@@ -167,7 +167,7 @@
             link.close(Reason.DUPLICATE_ID)
             return
         parts = message.parameters
-        LOG.debug("set-up party=%s call=%s parameters=%r", self.host, message.call.hex(), parts)
+        LOG.debug("set-up", party=self.host, call=message.call.hex(), parameters=parts)
         try:
             if not any(message.call):
                 raise CodecError("no id")  # servers can't read it and close, whatever else is open there
--- a/martentide/net/config.py
+++ b/martentide/net/config.py
@@ -4,15 +4,18 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from martentide.codec import CodecError
 from martentide.codec.board import Notice, read_known
 from martentide.interface import Settings
 from martentide.settings import SettingsError, settings_from
 
+if TYPE_CHECKING:
+    from martentide.operator import Operator
+
 
 class ConfigError(Exception):
     """A configuration that the program cannot start with; its text is one line."""
@@ -42,6 +45,7 @@
     zones: tuple[str, ...]
     connect_timeout: float
     max_open: int
+    operator: Operator | None = None  # the operator's own file, where there is one
 
 
 def read_address(text: Any, what: str) -> Address:
@@ -51,8 +55,13 @@
     return Address(host, int(port))
 
 
-def load_config(environment: Mapping[str, str], path: str | None = None) -> Config:
-    """The configuration file named by ``path`` or PROXY_CONFIG; the other variables go before its text."""
+def load_config(
+    environment: Mapping[str, str], path: str | None = None, operator: str | None = None
+) -> Config:
+    """The configuration file named by ``path`` or PROXY_CONFIG; the other variables go before its text.
+
+    The operator's file is the one named by ``operator`` or MARTENTIDE_OPERATOR; without either there is none.
+    """
     path = path or environment.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG: not set, and no --config given")
@@ -67,7 +76,16 @@
     for variable, key in (("PROXY_LISTEN", "listen"), ("PROXY_NAME", "name")):
         if environment.get(variable):
             raw[key] = environment[variable]
-    return read_config(raw)
+    config = read_config(raw)
+    operator = operator or environment.get("MARTENTIDE_OPERATOR")
+    if not operator:
+        return config
+    from martentide.operator import OperatorError, load_operator  # its libraries are not the platform's
+
+    try:
+        return replace(config, operator=load_operator(operator, config.settings))
+    except OperatorError as error:
+        raise ConfigError(str(error)) from None
 
 
 def read_config(raw: Mapping[str, Any]) -> Config:
--- a/martentide/net/decider.py
+++ b/martentide/net/decider.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import itertools
-import logging
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -64,7 +63,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Offer:
-    """A new call. What goes on unchanged is bytes; the rest is for the decisions. ``at`` is Unix ms."""
+    """A new call. What goes on unchanged is bytes; the rest is for the decisions. ``at`` is Unix ms.
+
+    ``carrier``: who carries the call's attempts; None: the actors of the session servers, over their links.
+    """
 
     caller: Caller
     call: bytes
@@ -74,6 +76,7 @@
     time_left: float
     first_choice: int
     at: float
+    carrier: Carrier | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,11 +98,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Order:
-    """Set a call up at a server and wait ``patience`` ms for what it says."""
+    """Set a call up at a server and wait ``patience`` ms for what it says; one Ended is owed for it."""
 
     ref: int
     attempt: int
     call: bytes
+    server: str
     call_class: bytes
     number: bytes
     description: bytes
@@ -143,7 +147,15 @@
     report: Report | None
 
 
-class ServerActor(Protocol):
+class Carrier(Protocol):
+    """Carries attempts and posts what comes of each: Stood if it stands, and one Ended at its end."""
+
+    def post(self, item: Order | Withdraw) -> None: ...
+
+
+class ServerActor(Carrier, Protocol):
+    """The carrier over the program's own links to one server."""
+
     def post(self, item: Order | Withdraw | Probing | Listed) -> None: ...
 
 
@@ -162,7 +174,7 @@
     overdue: asyncio.TimerHandle
     attempts: int = 0
     out: int | None = None  # number of the attempt that is out
-    at: ServerActor | None = None
+    at: Carrier | None = None
     stands: bool = False
     closed: bool = False  # nothing is owed to the caller any more
 
@@ -184,6 +196,7 @@
         self.answered: OrderedDict[bytes, int] = OrderedDict()  # and the caller
         self.listed: dict[str, Listed] = {}
         self.servers: dict[str, ServerActor] = {}
+        self.watchers: list[Callable[[tuple[Listed, ...]], None]] = []
         self.closing = False
         self.idle = asyncio.Event()
         self.idle.set()
@@ -198,7 +211,7 @@
                 self._take(item)
             except Exception:
                 # Guards against an error in the decisions: the call it hit is answered, the rest goes on.
-                LOG.exception("internal-error item=%s", type(item).__name__)
+                LOG.exception("internal-error", item=type(item).__name__)
                 self._settle_after_error(item)
             if self.calls:
                 self.idle.clear()
@@ -234,8 +247,7 @@
             # Also after an error in the decisions: what they had asked for by then, above all their next
             # timer, is in their books as done, and without it they would not look at held calls again.
             actions = self.controller.actions
-            if LOG.isEnabledFor(logging.DEBUG):
-                LOG.debug("decide now=%.1f event=%r actions=%r", self.now, event, actions)
+            LOG.debug("decide", now=self.now, heard=event, actions=actions)
             for action in actions:
                 self._act(action)
 
@@ -275,8 +287,8 @@
         if call is None or call.closed or call.out is not None:
             raise RuntimeError(f"set-up of call {action.ref}, which is closed or has an attempt out")
         attempt, call.attempts = call.attempts, call.attempts + 1
-        call.out, call.at = attempt, self.servers.get(action.server)
         offer = call.offer
+        call.out, call.at = attempt, offer.carrier or self.servers.get(action.server)
         if call.at is None:
             self.post(Ended(call.ref, attempt, action.server, Ending.NOT_SENT, False, 0.0, None))
             return
@@ -285,6 +297,7 @@
                 ref=call.ref,
                 attempt=attempt,
                 call=offer.call,
+                server=action.server,
                 call_class=offer.call_class,
                 number=offer.number,
                 description=offer.description,
@@ -427,6 +440,8 @@
                 self.servers[name].post(listed)
             else:
                 self.servers[name] = self.start_server(listed, self)
+        for watcher in self.watchers:
+            watcher(tuple(changed.values()))
         kind = kind or (ListKind.WHOLE if notice.whole else ListKind.CHANGES)
         self._feed(ServerList(kind, tuple(listed.entry for listed in notice.servers)))
 
--- a/martentide/net/endings.py
+++ b/martentide/net/endings.py
@@ -5,10 +5,11 @@
 
 from __future__ import annotations
 
-import logging
 from enum import Enum
 
-LOG = logging.getLogger("martentide")
+import structlog
+
+LOG = structlog.get_logger()
 
 
 class Reason(Enum):
@@ -38,14 +39,11 @@
 
 def log_ended(role: str, peer: str, reason: Reason, detail: str = "") -> None:
     """The one line that an ended connection leaves; ``role`` is caller, server or board."""
-    level = logging.INFO if reason in QUIET else logging.WARNING
-    LOG.log(level, "connection-ended role=%s peer=%s reason=%s%s", role, peer, reason.value, _tail(detail))
-
-
-def _tail(detail: str) -> str:
-    return f" detail={detail!r}" if detail else ""
+    write = LOG.info if reason in QUIET else LOG.warning
+    more = {"detail": repr(detail)} if detail else {}
+    write("connection-ended", role=role, peer=peer, reason=reason.value, **more)
 
 
 def log_event(event: str, **fields: object) -> None:
     """Any other line for on-call staff: what happened and its figures."""
-    LOG.info("%s%s", event, "".join(f" {name}={value}" for name, value in fields.items()))
+    LOG.info(event, **fields)
--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -132,7 +132,7 @@
             try:
                 self._take(item)
             except Exception:
-                LOG.exception("internal-error server=%s item=%s", self.name, type(item).__name__)
+                LOG.exception("internal-error", server=self.name, item=type(item).__name__)
             if isinstance(item, Received):
                 item.link.credit.release()
         self.quiet.cancel()
@@ -353,7 +353,7 @@
         try:
             return None if text is None else read_report(text)
         except CodecError as error:  # the rest of the message stands without it
-            LOG.warning("bad-report server=%s detail=%r", self.name, str(error))
+            LOG.warning("bad-report", server=self.name, detail=repr(str(error)))
             return None
 
     # ---- tests ------------------------------------------------------------------------------------------
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -52,7 +52,7 @@
 async def serve(config: Config, read: Callable[[], Config]) -> None:
     """Run until SIGTERM (or SIGINT) and until all that was taken by then is answered and over; ``read`` reads
     the configuration anew."""
-    LOG.debug("settings %r zones=%r known=%r", config.settings, config.zones, config.known)
+    LOG.debug("settings", settings=config.settings, zones=config.zones, known=config.known)
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- /dev/null
+++ b/martentide/operator.py
@@ -0,0 +1,262 @@
+"""The operator's own file (KDL): what is turned on beside the platform's protocol, and its figures.
+
+Every fault names the file, the node and the property, what was found and what was expected. A subsystem that
+the file does not name is off. ``deploy/operator.example.kdl`` shows all there is.
+"""
+
+from __future__ import annotations
+
+import difflib
+from pathlib import Path
+from typing import Annotated, Any, TypeVar
+
+import ckdl
+import msgspec
+
+from martentide.extproc.ledger import Terms
+from martentide.extproc.limits import Limits
+from martentide.extproc.sessions import SessionTerms
+from martentide.interface import Settings
+
+MOST_FILE = 1024 * 1024  # bytes
+
+Count = Annotated[int, msgspec.Meta(ge=1, le=10_000_000)]
+Millis = Annotated[float, msgspec.Meta(ge=0, le=600_000)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Rate = Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
+Header = Annotated[str, msgspec.Meta(pattern=r"^:?[a-z0-9!#$%&'*+.^_|~-]{1,64}$")]
+Status = Annotated[int, msgspec.Meta(ge=100, le=599)]
+
+
+class OperatorError(Exception):
+    """The operator's file can't be used; the text is one line."""
+
+
+class Node(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename="kebab"):
+    """One node's properties."""
+
+
+class LimitsNode(Node, frozen=True):
+    pending_each: Count = 500
+    pending_all: Count = 2_000
+    open_each: Count = 5_000
+    open_all: Count = 20_000
+    rate_each: Rate = 1_000.0
+    burst_ms: Millis = 250.0
+    reserve: Share = 0.2
+    max_retry_after_ms: Millis = 2_000.0
+
+
+class TimesNode(Node, frozen=True):
+    verdict_margin_ms: Millis = 20.0
+    report_margin_ms: Millis = 40.0
+    valid_for_ms: Annotated[float, msgspec.Meta(ge=10, le=1_800)] = 1_000.0  # the drain rule allows 2 s
+    lease_grace_ms: Millis = 250.0
+    standing_end_ms: Annotated[float, msgspec.Meta(ge=0, le=8_000)] = 8_000.0
+
+
+class SessionsNode(Node, frozen=True):
+    lease_ms: Annotated[float, msgspec.Meta(ge=0, le=60_000)] = 2_000.0
+    most: Count = 64
+    most_each: Count = 8
+
+
+class StreamsNode(Node, frozen=True):
+    most_message_bytes: Annotated[int, msgspec.Meta(ge=1_024, le=4_194_304)] = 65_536
+    most_streams: Count = 2_000  # of one connection
+    most_unsent: Count = 10_000  # messages that wait for a front that does not read
+    blocked_ms: Millis = 2_000.0  # so long may one write take
+
+
+class HeadersNode(Node, frozen=True):
+    """Names of the HTTP headers that carry what the decisions need, and what they decide."""
+
+    call_class: Header = "x-call-class"
+    deadline_ms: Header = "x-call-deadline-ms"
+    number: Header = "x-called-number"
+    first_choice: Header = "x-first-choice"
+    report: Header = "x-load-report"
+    server: Header = "x-envoy-original-dst-host"
+    patience_ms: Header = "x-envoy-upstream-rq-timeout-ms"
+    attempt: Header = "x-martentide-attempt"
+
+
+class StatusNode(Node, frozen=True):
+    """What HTTP statuses of a server mean as the end of an attempt; others of 400 and more are errors."""
+
+    full: Status = 503
+    timed_out: Status = 504
+    unreachable: Status = 502
+    refusal: Status = 503  # what the caller gets for a refusal
+    failure: Status = 502  # and for a failure
+
+
+class ExternalProcessor(msgspec.Struct, frozen=True):
+    listen: str
+    services: tuple[str, ...] = ("decisions", "ext-proc")
+    own_links: bool = True  # the program also dials the servers itself, to test them and hear their state
+    limits: LimitsNode = LimitsNode()
+    times: TimesNode = TimesNode()
+    sessions: SessionsNode = SessionsNode()
+    streams: StreamsNode = StreamsNode()
+    headers: HeadersNode = HeadersNode()
+    statuses: StatusNode = StatusNode()
+
+    def limits_terms(self) -> Limits:
+        one = self.limits
+        return Limits(
+            pending_each=one.pending_each,
+            pending_all=one.pending_all,
+            open_each=one.open_each,
+            open_all=one.open_all,
+            rate_each=one.rate_each,
+            burst_ms=one.burst_ms,
+            reserve=one.reserve,
+            max_retry_after=one.max_retry_after_ms,
+        )
+
+    def ledger_terms(self, settings: Settings, single: bool) -> Terms:
+        times = self.times
+        return Terms(
+            verdict_margin=times.verdict_margin_ms,
+            report_margin=times.report_margin_ms,
+            valid_for=times.valid_for_ms,
+            lease_grace=times.lease_grace_ms,
+            standing_end=times.standing_end_ms,
+            release=settings.release,
+            most_attempts=settings.max_attempts,
+            single=single,
+        )
+
+    def session_terms(self) -> SessionTerms:
+        return SessionTerms(self.sessions.lease_ms, self.sessions.most, self.sessions.most_each)
+
+
+class Operator(msgspec.Struct, frozen=True):
+    """The whole file; what is None is off."""
+
+    path: str
+    external_processor: ExternalProcessor | None = None
+
+    def summary(self) -> str:
+        front = self.external_processor
+        if front is None:
+            return f"{self.path}: nothing is turned on"
+        return f"{self.path}: external processor ({', '.join(front.services)}) on {front.listen}"
+
+
+SERVICES = ("decisions", "ext-proc")
+PARTS: dict[str, type[Node]] = {
+    "limits": LimitsNode,
+    "times": TimesNode,
+    "sessions": SessionsNode,
+    "streams": StreamsNode,
+    "headers": HeadersNode,
+    "statuses": StatusNode,
+}
+AnyNode = TypeVar("AnyNode", bound=Node)
+
+
+def load_operator(path: str, settings: Settings) -> Operator:
+    """Read and check the file; raises OperatorError."""
+    try:
+        with Path(path).open("rb") as file:
+            raw = file.read(MOST_FILE + 1)
+    except OSError as error:
+        raise OperatorError(f"{path}: {error.strerror}") from None
+    if len(raw) > MOST_FILE:
+        raise OperatorError(f"{path}: more than {MOST_FILE} bytes")
+    try:
+        text = raw.decode("utf-8")
+    except UnicodeDecodeError as error:
+        raise OperatorError(f"{path}: byte {error.start}: not UTF-8") from None
+    return read_operator(text, path, settings)
+
+
+def read_operator(text: str, path: str, settings: Settings) -> Operator:
+    try:
+        document = ckdl.parse(text)
+    except ckdl.ParseError as error:
+        raise OperatorError(f"{path}: line {_bad_line(text)}: {error}") from None
+    found: dict[str, Any] = {}
+    for node in document.nodes:
+        if node.name != "external-processor":
+            raise OperatorError(
+                f"{path}: {node.name}: unknown node{_nearest(node.name, ['external-processor'])}"
+            )
+        if node.name in found:
+            raise OperatorError(f"{path}: {node.name}: stands there twice")
+        found[node.name] = _external_processor(node, path)
+    return Operator(path, found.get("external-processor"))
+
+
+def _bad_line(text: str) -> int:
+    """The first line up to which the text can't be the beginning of a document."""
+    lines = text.splitlines()
+    for count in range(1, len(lines) + 1):
+        try:
+            ckdl.parse("\n".join(lines[:count]))
+        except ckdl.ParseError as error:
+            if "end of" not in str(error):
+                return count
+    return max(1, len(lines))
+
+
+def _external_processor(node: ckdl.Node, path: str) -> ExternalProcessor:
+    where = f"{path}: {node.name}"
+    if node.args or node.properties:
+        raise OperatorError(f"{where}: takes no values of its own, its figures stand in nodes inside")
+    values: dict[str, Any] = {}
+    for child in node.children:
+        here = f"{where}/{child.name}"
+        if child.name in values:
+            raise OperatorError(f"{here}: stands there twice")
+        if child.name == "listen":
+            values["listen"] = _one(child, str, "an address HOST:PORT", here)
+            host, colon, port = values["listen"].rpartition(":")
+            if not colon or not host or not port.isdecimal() or int(port) > 65535:
+                raise OperatorError(f"{here}: expected HOST:PORT, found {values['listen']!r}")
+        elif child.name == "own-links":
+            values["own-links"] = _one(child, bool, "#true or #false", here)
+        elif child.name == "services":
+            for name in child.args:
+                if name not in SERVICES:
+                    raise OperatorError(f"{here}: expected one of {', '.join(SERVICES)}, found {name!r}")
+            if not child.args or child.properties or child.children:
+                raise OperatorError(f"{here}: expected names of services")
+            values["services"] = tuple(child.args)
+        elif child.name in PARTS:
+            values[child.name] = _part(child, PARTS[child.name], here)
+        else:
+            known = ["listen", "own-links", "services", *PARTS]
+            raise OperatorError(f"{here}: unknown node{_nearest(child.name, known)}")
+    if "listen" not in values:
+        raise OperatorError(f"{where}: expected a node listen, found none")
+    return ExternalProcessor(**{name.replace("-", "_"): value for name, value in values.items()})
+
+
+def _one(node: ckdl.Node, kind: type, expected: str, where: str) -> Any:
+    if len(node.args) != 1 or node.properties or node.children or type(node.args[0]) is not kind:
+        found = ", ".join(repr(value) for value in node.args) or "none"
+        raise OperatorError(f"{where}: expected {expected}, found {found}")
+    return node.args[0]
+
+
+def _part(node: ckdl.Node, kind: type[AnyNode], where: str) -> AnyNode:
+    if node.args or node.children:
+        raise OperatorError(f"{where}: expected properties NAME=VALUE only")
+    names = [field.encode_name for field in msgspec.structs.fields(kind)]
+    for name, value in node.properties.items():
+        if name not in names:
+            raise OperatorError(f"{where}: {name}: unknown property{_nearest(name, names)}")
+        try:
+            msgspec.convert({name: value}, kind)
+        except msgspec.ValidationError as error:
+            said = str(error).split(" - at ")[0]
+            raise OperatorError(f"{where}: {name}: {said[0].lower()}{said[1:]}, found {value!r}") from None
+    return msgspec.convert(node.properties, kind)
+
+
+def _nearest(name: str, known: list[str]) -> str:
+    near = difflib.get_close_matches(name, known, 1)
+    return f"; did you mean {near[0]}?" if near else f"; known are {', '.join(known)}"
--- /dev/null
+++ b/martentide_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, written from the public specifications; the product never imports them."""
--- /dev/null
+++ b/tests/extproc/support.py
@@ -0,0 +1,169 @@
+"""The one helper of the external processor's tests: a ledger between a model of the module and of a front."""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter
+from dataclasses import replace
+from typing import Any
+
+from martentide.extproc.ledger import (
+    AttemptOver,
+    AttemptStands,
+    Carry,
+    Decided,
+    Due,
+    Effect,
+    Event,
+    Ledger,
+    Left,
+    ListChanged,
+    Offered,
+    Place,
+    Say,
+    Terms,
+    Unwake,
+    Wake,
+)
+from martentide.extproc.limits import Admission, Limits
+from martentide.extproc.messages import (
+    Ask,
+    Cancelled,
+    Failed,
+    Outcome,
+    Refused,
+    Release,
+    Route,
+    Standing,
+    ToFront,
+    Withdrawn,
+)
+from martentide.interface import CallClass, Ending, Repeat, ServerState
+from tests.support import entry
+
+CLASSES = {
+    "plain": CallClass("plain", 1.0, 1500.0, 9000.0, 0.1, Repeat.HARMLESS, None),
+    "urgent": CallClass("urgent", 6.0, 1000.0, 6000.0, 0.2, Repeat.HARMLESS, None),
+}
+FINALS = (Refused, Failed, Cancelled, Standing)
+START = 1_000_000.0
+
+
+def place(name: str, state: ServerState = ServerState.OPEN, started: float | None = None) -> Place:
+    return Place(entry(name, int(name[1:]), state, started), f"127.0.0.1:{7000 + int(name[1:])}")
+
+
+class Play:
+    """Feeds one ledger, keeps its timers, and checks on every effect what must hold whatever happens."""
+
+    def __init__(self, terms: Terms | None = None, limits: Limits | None = None) -> None:
+        self.now = START
+        self.admission = Admission(limits or Limits(), 6.0, 1)
+        self.terms = terms or Terms()
+        self.ledger = Ledger("f", self.terms, CLASSES, self.admission, itertools.count(1))
+        self.timers: dict[tuple[int, str], float] = {}
+        self.said: list[ToFront] = []
+        self.effects: list[Effect] = []
+        self.offered: dict[int, int] = {}  # request by key
+        self.asked: dict[int, float] = {}  # when the caller's time is over
+        self.finals: Counter[int] = Counter()
+        self.routes: Counter[tuple[int, int]] = Counter()
+        self.out: dict[int, int] = {}  # attempt that is out at the front, by request
+        self.booked: dict[tuple[int, int], int] = {}  # ends owed for an order, by ref and attempt
+        self.left: set[int] = set()
+        self.feed(ListChanged((place("s0"), place("s1"))))
+
+    def feed(self, event: Event) -> list[Effect]:
+        if isinstance(event, Carry):
+            self.booked[event.ref, event.attempt] = 1
+        effects = list(self.ledger.handle(self.now, event))
+        self.effects += effects
+        for effect in effects:
+            self._note(effect)
+        return effects
+
+    def _note(self, effect: Effect) -> None:
+        match effect:
+            case Wake(key, kind, at):
+                self.timers[key, kind] = at
+            case Unwake(key, kind):
+                self.timers.pop((key, kind), None)
+            case Offered(key=key):
+                self.offered[key] = max(self.asked)
+            case Left(key):
+                assert key not in self.left, "left twice"
+                self.left.add(key)
+            case AttemptOver(ref=ref, attempt=attempt):
+                self.booked[ref, attempt] -= 1
+                assert self.booked[ref, attempt] == 0, "two ends for one order"
+            case AttemptStands(ref=ref, attempt=attempt):
+                assert self.booked[ref, attempt] == 1, "stands, but was over"
+            case Say(message):
+                self.said.append(message)
+                self._heard(message)
+
+    def _heard(self, message: ToFront) -> None:
+        request = message.request
+        if isinstance(message, Route):
+            assert request not in self.out or self.out[request] == message.attempt, "two attempts out"
+            assert not self.finals[request], "a route behind the final"
+            assert 0 <= message.valid_for <= self.terms.valid_for and message.patience > 0
+            self.out[request] = message.attempt
+            self.routes[request, message.attempt] += 1
+        elif isinstance(message, Withdrawn):
+            if not message.if_unused and self.out.get(request) == message.attempt:
+                del self.out[request]
+        elif not isinstance(message, Release):
+            self.finals[request] += 1
+            assert self.finals[request] == 1, "two finals"
+            assert self.now <= self.asked[request], "a final after the caller's time"
+            if not isinstance(message, Standing):
+                assert request not in self.out, "a final while an attempt is out"
+
+    def ask(
+        self, request: int, left: float | None = 3000.0, name: str = "plain", **more: Any
+    ) -> list[Effect]:
+        kind = CLASSES.get(name)
+        over = left if left is not None and 0 <= left <= 600_000 else (kind.deadline if kind else 0.0)
+        self.asked[request] = self.now + max(0.0, over)
+        return self.feed(replace(Ask(request, name, "n", left, 0, self.now), **more))
+
+    def key(self, request: int) -> int:
+        return next(key for key, one in self.offered.items() if one == request)
+
+    def carry(
+        self, request: int, attempt: int = 0, server: str = "s0", patience: float = 800.0
+    ) -> list[Effect]:
+        key = self.key(request)
+        return self.feed(Carry(key, key, attempt, server, patience))
+
+    def outcome(self, request: int, ending: Ending | None, attempt: int = 0, **more: Any) -> list[Effect]:
+        if self.out.get(request) == attempt:
+            del self.out[request]
+        return self.feed(Outcome(request, attempt, ending, 12.0, **more))
+
+    def decide(self, request: int, hold_off: float | None) -> list[Effect]:
+        return self.feed(Decided(self.key(request), hold_off))
+
+    def advance(self, span: float) -> None:
+        end = self.now + span
+        while self.timers and min(self.timers.values()) <= end:
+            (key, kind), at = min(self.timers.items(), key=lambda item: (item[1], item[0]))
+            del self.timers[key, kind]
+            self.now = max(self.now, at)
+            self.feed(Due(key, kind))
+        self.now = end
+
+    def settled(self) -> None:
+        """Nothing is open: every booking was returned and every count is back."""
+        assert not self.ledger.open and not self.ledger.by_request and not self.timers
+        assert not any(self.booked.values()), "an order without its end"
+        assert self.admission.pending == self.admission.open == 0
+        front = self.admission.fronts.get("f")
+        assert front is None or front.pending == front.open == 0
+
+
+def kinds(effects: list[Effect]) -> list[str]:
+    """Effects by name, what is said by the message's name; timers left out."""
+    shown = [effect for effect in effects if not isinstance(effect, Wake | Unwake)]
+    return [type(e.message if isinstance(e, Say) else e).__name__ for e in shown]
--- /dev/null
+++ b/tests/extproc/test_ledger.py
@@ -0,0 +1,389 @@
+"""The lifecycle of requests: tables of cases, and a state machine that drives it at random."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from martentide.extproc.ledger import Carry, FrontError, ListChanged, Say, State, Stream, TakeBack, Terms
+from martentide.extproc.limits import Limits
+from martentide.extproc.messages import (
+    Cancel,
+    Failed,
+    Outcome,
+    Over,
+    Refused,
+    Route,
+    Standing,
+    Why,
+    Withdrawn,
+)
+from martentide.interface import Ending, ServerState
+from tests.extproc.support import START, Play, kinds, place
+
+
+def said(play: Play) -> list[tuple[str, Why | None]]:
+    return [(type(message).__name__, getattr(message, "why", None)) for message in play.said]
+
+
+def test_a_request_is_routed_stands_and_is_over() -> None:
+    play = Play()
+    assert kinds(play.ask(5)) == ["Offered"]
+    assert kinds(play.carry(5)) == ["Route"]
+    assert play.said[-1] == Route(5, 0, "s0", "127.0.0.1:7000", "z", 800.0, 800.0)
+    assert kinds(play.outcome(5, None)) == ["AttemptStands", "Standing"]
+    play.advance(60_000.0)
+    assert kinds(play.feed(Over(5, cut=False))) == ["AttemptOver"]
+    play.settled()
+
+
+def test_the_end_of_an_attempt_opens_the_question_anew() -> None:
+    play = Play()
+    play.ask(1)
+    play.carry(1)
+    assert kinds(play.outcome(1, Ending.FULL)) == ["AttemptOver"]
+    play.carry(1, 1, "s1")
+    assert kinds(play.outcome(1, Ending.ERROR, 1)) == ["AttemptOver"]
+    assert kinds(play.decide(1, None)) == ["Failed"]
+    play.settled()
+
+
+@pytest.mark.parametrize(
+    ("left", "name", "more", "final"),
+    [
+        (3000.0, "nobody", {}, Failed(1, Why.UNKNOWN_CLASS)),
+        (-1.0, "plain", {}, Failed(1, Why.BAD_REQUEST)),
+        (float("nan"), "plain", {}, Failed(1, Why.BAD_REQUEST)),
+        (float("inf"), "plain", {}, Failed(1, Why.BAD_REQUEST)),
+        (3000.0, "plain", {"first_choice": -7}, Failed(1, Why.BAD_REQUEST)),
+        (0.0, "plain", {}, Refused(1, 0.0, Why.DEADLINE)),
+        (300.0, "plain", {"at": START - 300.0}, Refused(1, 0.0, Why.DEADLINE)),
+    ],
+)
+def test_what_can_not_be_asked_has_its_final_at_once(
+    left: float, name: str, more: dict[str, Any], final: Failed | Refused
+) -> None:
+    play = Play()
+    assert play.ask(1, left, name, **more) == [Say(final)]
+    play.settled()
+
+
+@pytest.mark.parametrize(("left", "cutoff"), [(None, 8980.0), (1e12, 8980.0), (3000.0, 2980.0), (50.0, 40.0)])
+def test_a_pending_question_is_refused_just_before_the_callers_time_is_over(
+    left: float | None, cutoff: float
+) -> None:
+    play = Play()
+    play.ask(1, left)
+    play.advance(cutoff - 0.5)
+    assert not play.said
+    play.advance(0.5)
+    assert said(play) == [("Refused", Why.DEADLINE)] and play.ledger.counts["refused_deadline"] == 1
+    assert kinds(play.carry(1)) == ["AttemptOver"], "an order that was on its way still has its end"
+    assert play.decide(1, 0.0) == []
+    play.settled()
+
+
+def test_a_verdict_in_the_instant_of_the_deadline_is_the_only_one() -> None:
+    play = Play()
+    play.ask(1, 1000.0)
+    play.now += 980.0  # the cut-off is due, but its timer has not been heard yet
+    play.decide(1, 50.0)
+    play.advance(100.0)
+    assert said(play) == [("Refused", Why.DECIDED)]
+    play.settled()
+
+
+def test_an_attempt_at_the_end_of_the_callers_time_is_withdrawn_and_failed_in_time() -> None:
+    play = Play()
+    play.ask(1, 1000.0)
+    play.carry(1, patience=1000.0)
+    assert isinstance(play.said[-1], Route) and play.said[-1].patience == 940.0
+    play.advance(1000.0)
+    assert said(play)[1:] == [("Withdrawn", Why.DEADLINE), ("Failed", Why.DEADLINE)]
+    play.settled()
+
+
+def test_a_front_that_never_reports_is_a_time_out_and_its_late_report_changes_nothing() -> None:
+    play = Play()
+    play.ask(1)
+    play.carry(1, patience=500.0)
+    play.advance(749.0)
+    assert said(play)[1:] == []
+    play.advance(1.0)
+    assert said(play)[1:] == [("Withdrawn", Why.PATIENCE)]
+    over = [effect for effect in play.effects if type(effect).__name__ == "AttemptOver"]
+    assert [one.ending for one in over] == [Ending.TIMED_OUT]  # type: ignore[union-attr]
+    assert kinds(play.outcome(1, Ending.FULL)) == []
+    assert kinds(play.outcome(1, None)) == ["Withdrawn"], "what stands too late must be released"
+    assert play.ledger.counts["late_reports"] == 2
+    play.decide(1, None)
+    play.settled()
+
+
+@pytest.mark.parametrize("ending", [Ending.TIMED_OUT, Ending.CUT, Ending.CANCELLED])
+def test_a_route_waits_for_the_release_of_the_attempt_before(ending: Ending) -> None:
+    play = Play()
+    play.ask(1)
+    play.carry(1)
+    play.outcome(1, ending)
+    play.advance(50.0)
+    assert kinds(play.carry(1, 1, "s1")) == []
+    play.advance(149.0)
+    assert len(play.said) == 1
+    play.advance(1.0)
+    assert isinstance(play.said[-1], Route) and play.said[-1].attempt == 1
+    play.outcome(1, None, 1)
+    play.feed(Over(1, cut=True))
+    play.settled()
+
+
+def test_no_attempt_beyond_the_most_and_none_beside_one_that_is_out() -> None:
+    play = Play(Terms(most_attempts=2))
+    play.ask(1)
+    play.carry(1)
+    assert kinds(play.carry(1, 1)) == ["AttemptOver"]
+    play.outcome(1, Ending.FULL)
+    play.carry(1, 2)
+    play.outcome(1, Ending.FULL, 2)
+    assert kinds(play.carry(1, 3)) == ["AttemptOver"]
+    play.decide(1, 0.0)
+    play.settled()
+
+
+def cancel(play: Play) -> None:
+    play.out.pop(1, None)  # the front gives up what is out before it says so
+    play.feed(Cancel(1))
+
+
+@pytest.mark.parametrize(
+    ("before", "finals"),
+    [
+        ([lambda p: p.ask(1), cancel], ["Cancelled"]),
+        ([lambda p: p.ask(1), cancel, lambda p: p.carry(1)], ["Cancelled"]),
+        ([lambda p: p.ask(1), cancel, lambda p: p.decide(1, 0.0)], ["Cancelled"]),
+        ([lambda p: p.ask(1), lambda p: p.carry(1), cancel], ["Route", "Cancelled"]),
+        ([lambda p: p.ask(1), lambda p: p.decide(1, 0.0), cancel], ["Refused"]),
+        (
+            [lambda p: p.ask(1), lambda p: p.carry(1), lambda p: p.outcome(1, None), cancel],
+            ["Route", "Standing"],
+        ),
+        ([lambda p: p.ask(1), cancel, cancel], ["Cancelled"]),
+    ],
+)
+def test_a_cancel_before_with_and_after_the_verdict(
+    before: list[Callable[[Play], Any]], finals: list[str]
+) -> None:
+    play = Play()
+    for step in before:
+        step(play)
+    assert [name for name, _ in said(play)] == finals
+    play.settled()
+
+
+@pytest.mark.parametrize(
+    "event",
+    [Cancel(9), Over(9, cut=False), Outcome(9, 0, None, 1.0), Outcome(1, 3, None, 1.0), Over(1, cut=True)],
+)
+def test_what_was_never_asked_or_routed_breaks_the_protocol(event: Any) -> None:
+    play = Play()
+    play.ask(1)
+    with pytest.raises(FrontError):
+        play.feed(event)
+
+
+def test_a_number_that_comes_again_breaks_the_protocol() -> None:
+    play = Play()
+    play.ask(4)
+    with pytest.raises(FrontError, match="numbers must grow"):
+        play.ask(4)
+
+
+def test_a_drain_takes_back_a_route_that_is_not_used() -> None:
+    play = Play()
+    play.ask(1)
+    play.ask(2)
+    for request in (1, 2):
+        play.carry(request)
+    play.feed(ListChanged((place("s0", ServerState.DRAINING),)))
+    assert play.said[2:] == [Withdrawn(n, 0, True, Why.DRAINING) for n in (1, 2)]
+    assert kinds(play.carry(1, 1)) == ["AttemptOver"], "no route to a server that drains"
+    play.outcome(1, Ending.NOT_SENT)
+    play.carry(1, 1, "s1")
+    play.outcome(2, None)  # it was in use already, and goes on
+    assert play.said[-1] == Standing(2)
+
+
+@pytest.mark.parametrize("change", [place("s0", ServerState.GONE), place("s0", started=START + 10.0)])
+def test_a_server_gone_or_started_anew_cuts_what_is_there(change: Any) -> None:
+    play = Play()
+    for request in (1, 2):
+        play.ask(request)
+        play.carry(request)
+    play.outcome(2, None)
+    play.advance(20.0)
+    play.feed(ListChanged((change,)))
+    assert said(play)[3:] == [("Withdrawn", Why.SERVER_GONE), ("Release", Why.SERVER_GONE)]
+    play.decide(1, None)
+    play.settled()
+
+
+def test_a_broken_stream_closes_what_is_pending_and_keeps_what_is_routed() -> None:
+    play = Play()
+    for request in (1, 2, 3):
+        play.ask(request)
+    play.carry(2)
+    play.carry(3)
+    play.outcome(3, None)
+    play.feed(Stream.BROKEN)
+    assert [one.state for one in play.ledger.open.values()] == [State.ROUTED, State.STANDS]
+    play.advance(300.0)
+    play.feed(Stream.RESUMED)
+    assert play.said[-1] == Route(2, 0, "s0", "127.0.0.1:7000", "z", 500.0, 500.0)
+    play.outcome(2, None)
+    for request in (2, 3):
+        play.feed(Over(request, cut=False))
+    play.settled()
+
+
+def test_a_front_that_does_not_come_back_loses_its_routes_as_cut_and_its_calls_in_time() -> None:
+    play = Play()
+    for request in (1, 2):
+        play.ask(request, None)
+        play.carry(request, patience=5000.0)
+    play.outcome(2, None)
+    play.feed(Stream.BROKEN)
+    play.advance(2000.0)
+    play.feed(Stream.EXPIRED)
+    over = [effect for effect in play.effects if type(effect).__name__ == "AttemptOver"]
+    assert [one.ending for one in over] == [Ending.CUT]  # type: ignore[union-attr]
+    play.advance(7999.0)
+    assert len(play.ledger.open) == 1
+    play.advance(1.0)
+    play.settled()
+
+
+def test_closing_refuses_new_questions_answers_the_open_ones_and_hands_back_what_stands() -> None:
+    play = Play()
+    for request in (1, 2):
+        play.ask(request)
+    play.carry(1)
+    play.outcome(1, None)
+    play.feed(Stream.CLOSING)
+    play.ask(3)
+    play.decide(2, 10.0)
+    assert said(play)[2:] == [("Refused", Why.CLOSING), ("Refused", Why.DECIDED)]
+    play.settled()
+
+
+def test_a_front_of_one_attempt_has_its_final_with_the_outcome() -> None:
+    play = Play(Terms(single=True))
+    for request, ending in ((1, Ending.FULL), (2, Ending.ERROR)):
+        play.ask(request)
+        play.carry(request)
+        assert kinds(play.outcome(request, ending))[:2] == ["Left", "AttemptOver"]
+    assert [name for name, _ in said(play)] == ["Route", "Refused", "Route", "Failed"]
+    play.settled()
+
+
+class Lifecycle(RuleBasedStateMachine):
+    """Any order of anything: ``Play`` checks one final, one attempt out, one end an order, each in time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.play = Play(Terms(most_attempts=3), Limits(pending_each=4, open_each=6, rate_each=50.0))
+        self.request = 0
+        self.broken = False
+        self.module: dict[int, int] = {}  # next attempt of calls that the module holds, by key
+
+    def _holds(self) -> list[int]:
+        """Keys that the module has and may act on: it acts late on what is closed, as on a real mailbox."""
+        return sorted(key for key in self.play.offered if key not in self.done())
+
+    def done(self) -> set[int]:
+        return {key for key in self.module if self.module[key] >= 4}
+
+    def _pick(self, data: st.DataObject, of: list[int]) -> int:
+        return data.draw(st.sampled_from(of))
+
+    @precondition(lambda self: not self.broken)
+    @rule(
+        left=st.sampled_from([None, 30.0, 400.0, 3000.0, -1.0]),
+        name=st.sampled_from(["plain", "urgent", "x"]),
+    )
+    def ask(self, left: float | None, name: str) -> None:
+        self.request += 1
+        self.play.ask(self.request, left, name)
+
+    @precondition(lambda self: self._holds())
+    @rule(
+        data=st.data(), server=st.sampled_from(["s0", "s1"]), patience=st.sampled_from([1.0, 200.0, 4000.0])
+    )
+    def carry(self, data: st.DataObject, server: str, patience: float) -> None:
+        key = self._pick(data, self._holds())
+        if any(owed and ref == key for (ref, _), owed in self.play.booked.items()):
+            return  # the module orders no second attempt before it has heard of the first's end
+        self.module[key] = attempt = self.module.get(key, -1) + 1
+        self.play.feed(Carry(key, key, attempt, server, patience))
+
+    @precondition(lambda self: self._holds())
+    @rule(data=st.data(), hold_off=st.sampled_from([None, 0.0, 80.0]))
+    def decide(self, data: st.DataObject, hold_off: float | None) -> None:
+        key = self._pick(data, self._holds())
+        if not any(owed and ref == key for (ref, _), owed in self.play.booked.items()):
+            self.module[key] = 9
+            self.play.decide(self.play.offered[key], hold_off)
+
+    @precondition(lambda self: self.play.out and not self.broken)
+    @rule(data=st.data(), ending=st.sampled_from([None, *Ending]), late=st.booleans())
+    def report(self, data: st.DataObject, ending: Ending | None, late: bool) -> None:
+        request = self._pick(data, sorted(self.play.out))
+        attempt = self.play.out[request]
+        self.play.outcome(request, ending, attempt)
+        if late:
+            self.play.outcome(request, ending, attempt)
+
+    @precondition(lambda self: self.request and not self.broken)
+    @rule(data=st.data())
+    def cancel(self, data: st.DataObject) -> None:
+        request = self._pick(data, list(range(1, self.request + 1)))
+        self.play.out.pop(request, None)
+        self.play.feed(Cancel(request))
+
+    @rule(data=st.data(), hang_up=st.booleans())
+    def take_back(self, data: st.DataObject, hang_up: bool) -> None:
+        owed = [pair for pair, count in self.play.booked.items() if count]
+        if owed:
+            ref, attempt = data.draw(st.sampled_from(owed))
+            self.play.feed(TakeBack(ref, ref, attempt, hang_up))
+
+    @rule(span=st.sampled_from([1.0, 60.0, 210.0, 1500.0]))
+    def advance(self, span: float) -> None:
+        self.play.advance(span)
+
+    @rule(name=st.sampled_from(["s0", "s1"]), state=st.sampled_from(list(ServerState)))
+    def change(self, name: str, state: ServerState) -> None:
+        self.play.feed(ListChanged((place(name, state),)))
+
+    @rule()
+    def stream(self) -> None:
+        self.broken = not self.broken
+        if self.broken:
+            self.play.out.clear()
+        self.play.feed(Stream.BROKEN if self.broken else Stream.RESUMED)
+
+    def teardown(self) -> None:
+        self.play.feed(Stream.BROKEN)
+        self.play.feed(Stream.EXPIRED)
+        self.play.advance(20_000.0)
+        self.play.settled()
+
+
+Lifecycle.TestCase.settings = settings(
+    max_examples=120, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestLifecycle = Lifecycle.TestCase
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the developers."""
