Drive the lifecycle deeper by its state machine: release wait, drains, deadlines

Change: orders and reports meet more often, breaks and list changes less; Play also checks the release wait, the drain and the caller's time on each route.

--- a/tests/extproc/support.py
+++ b/tests/extproc/support.py
@@ -72,6 +72,8 @@
         self.out: dict[int, int] = {}  # attempt that is out at the front, by request
         self.booked: dict[tuple[int, int], int] = {}  # ends owed for an order, by ref and attempt
         self.left: set[int] = set()
+        self.ended: dict[int, set[int]] = {}  # attempts that are over, by request
+        self.free_at: dict[int, float] = {}  # when the release wait is over, by request
         self.feed(ListChanged((place("s0"), place("s1"))))
 
     def feed(self, event: Event) -> list[Effect]:
@@ -95,6 +97,11 @@
                 assert key not in self.left, "left twice"
                 self.left.add(key)
             case AttemptOver(ref=ref, attempt=attempt):
+                request = self.offered[ref]
+                if effect.ending in (Ending.TIMED_OUT, Ending.CUT, Ending.CANCELLED):
+                    self.free_at[request] = self.now + self.terms.release
+                if effect.ending is not Ending.NOT_SENT:
+                    self.ended.setdefault(request, set()).add(attempt)
                 self.booked[ref, attempt] -= 1
                 assert self.booked[ref, attempt] == 0, "two ends for one order"
             case AttemptStands(ref=ref, attempt=attempt):
@@ -112,6 +119,12 @@
         if isinstance(message, Route):
             assert request not in self.out or self.out[request] == message.attempt, "two attempts out"
             assert not self.finals[request], "a route behind the final"
+            assert message.attempt not in self.ended.get(request, set()), "a route of an attempt that is over"
+            free = self.free_at.get(request, 0.0)
+            assert self.now >= free, "a route before the release wait is over"
+            assert self.now + message.patience <= self.asked[request], "an attempt beyond the caller's time"
+            state = self.ledger.places[message.server].entry.state
+            assert state is ServerState.OPEN, "a route to a server that drains"
             assert 0 <= message.valid_for <= self.terms.valid_for and message.patience > 0
             self.out[request] = message.attempt
             self.routes[request, message.attempt] += 1
--- a/tests/extproc/test_ledger.py
+++ b/tests/extproc/test_ledger.py
@@ -290,6 +290,9 @@
     play.settled()
 
 
+STATES = [ServerState.OPEN] * 3 + list(ServerState)
+
+
 class Lifecycle(RuleBasedStateMachine):
     """Any order of anything: ``Play`` checks one final, one attempt out, one end an order, each in time."""
 
@@ -298,50 +301,56 @@
         self.play = Play(Terms(most_attempts=3), Limits(pending_each=4, open_each=6, rate_each=50.0))
         self.request = 0
         self.broken = False
-        self.module: dict[int, int] = {}  # next attempt of calls that the module holds, by key
+        self.module: dict[int, int] = {}  # the last attempt of calls that the module has, by key
+        self.settled: set[int] = set()  # keys that the module gave up
 
-    def _holds(self) -> list[int]:
-        """Keys that the module has and may act on: it acts late on what is closed, as on a real mailbox."""
-        return sorted(key for key in self.play.offered if key not in self.done())
+    def owed(self) -> dict[int, int]:
+        """Orders of the module whose end it has not heard: attempts by key."""
+        return {ref: attempt for (ref, attempt), count in self.play.booked.items() if count}
 
-    def done(self) -> set[int]:
-        return {key for key in self.module if self.module[key] >= 4}
+    def free(self) -> list[int]:
+        """Keys that the module may act on: also late on what is closed, as on a real mailbox."""
+        busy = self.owed()
+        keys = [key for key in self.play.offered if key not in self.settled and key not in busy]
+        return [key for key in keys if key not in self.play.left or self.module.get(key, -1) < 1][-4:]
 
-    def _pick(self, data: st.DataObject, of: list[int]) -> int:
-        return data.draw(st.sampled_from(of))
-
-    @precondition(lambda self: not self.broken)
-    @rule(
-        left=st.sampled_from([None, 30.0, 400.0, 3000.0, -1.0]),
-        name=st.sampled_from(["plain", "urgent", "x"]),
-    )
     def ask(self, left: float | None, name: str) -> None:
         self.request += 1
         self.play.ask(self.request, left, name)
 
-    @precondition(lambda self: self._holds())
-    @rule(
-        data=st.data(), server=st.sampled_from(["s0", "s1"]), patience=st.sampled_from([1.0, 200.0, 4000.0])
-    )
-    def carry(self, data: st.DataObject, server: str, patience: float) -> None:
-        key = self._pick(data, self._holds())
-        if any(owed and ref == key for (ref, _), owed in self.play.booked.items()):
-            return  # the module orders no second attempt before it has heard of the first's end
+    def carry(self, key: int, server: str, patience: float) -> None:
         self.module[key] = attempt = self.module.get(key, -1) + 1
         self.play.feed(Carry(key, key, attempt, server, patience))
 
-    @precondition(lambda self: self._holds())
+    @precondition(lambda self: not self.broken)
+    @rule(
+        left=st.sampled_from([None, 30.0, 400.0, 3000.0, 3000.0, -1.0]),
+        name=st.sampled_from(["plain", "urgent", "x"]),
+        routed=st.booleans(),
+        patience=st.sampled_from([1.0, 200.0, 4000.0]),
+    )
+    def asks(self, left: float | None, name: str, routed: bool, patience: float) -> None:
+        before = len(self.play.offered)
+        self.ask(left, name)
+        if routed and len(self.play.offered) > before:
+            self.carry(max(self.play.offered), "s0", patience)
+
+    @precondition(lambda self: self.free())
+    @rule(data=st.data(), server=st.sampled_from(["s0", "s1"]), patience=st.sampled_from([200.0, 4000.0]))
+    def orders(self, data: st.DataObject, server: str, patience: float) -> None:
+        self.carry(data.draw(st.sampled_from(self.free())), server, patience)
+
+    @precondition(lambda self: self.free())
     @rule(data=st.data(), hold_off=st.sampled_from([None, 0.0, 80.0]))
-    def decide(self, data: st.DataObject, hold_off: float | None) -> None:
-        key = self._pick(data, self._holds())
-        if not any(owed and ref == key for (ref, _), owed in self.play.booked.items()):
-            self.module[key] = 9
-            self.play.decide(self.play.offered[key], hold_off)
+    def decides(self, data: st.DataObject, hold_off: float | None) -> None:
+        key = data.draw(st.sampled_from(self.free()))
+        self.settled.add(key)
+        self.play.decide(self.play.offered[key], hold_off)
 
     @precondition(lambda self: self.play.out and not self.broken)
     @rule(data=st.data(), ending=st.sampled_from([None, *Ending]), late=st.booleans())
-    def report(self, data: st.DataObject, ending: Ending | None, late: bool) -> None:
-        request = self._pick(data, sorted(self.play.out))
+    def reports(self, data: st.DataObject, ending: Ending | None, late: bool) -> None:
+        request = data.draw(st.sampled_from(sorted(self.play.out)))
         attempt = self.play.out[request]
         self.play.outcome(request, ending, attempt)
         if late:
@@ -349,32 +358,35 @@
 
     @precondition(lambda self: self.request and not self.broken)
     @rule(data=st.data())
-    def cancel(self, data: st.DataObject) -> None:
-        request = self._pick(data, list(range(1, self.request + 1)))
+    def cancels(self, data: st.DataObject) -> None:
+        request = data.draw(st.integers(max(1, self.request - 3), self.request))
         self.play.out.pop(request, None)
         self.play.feed(Cancel(request))
 
+    @precondition(lambda self: self.owed())
     @rule(data=st.data(), hang_up=st.booleans())
-    def take_back(self, data: st.DataObject, hang_up: bool) -> None:
-        owed = [pair for pair, count in self.play.booked.items() if count]
-        if owed:
-            ref, attempt = data.draw(st.sampled_from(owed))
-            self.play.feed(TakeBack(ref, ref, attempt, hang_up))
+    def takes_back(self, data: st.DataObject, hang_up: bool) -> None:
+        ref, attempt = data.draw(st.sampled_from(sorted(self.owed().items())))
+        self.play.feed(TakeBack(ref, ref, attempt, hang_up))
 
-    @rule(span=st.sampled_from([1.0, 60.0, 210.0, 1500.0]))
+    @rule(span=st.sampled_from([1.0, 60.0, 210.0, 460.0, 1500.0]))
     def advance(self, span: float) -> None:
         self.play.advance(span)
 
-    @rule(name=st.sampled_from(["s0", "s1"]), state=st.sampled_from(list(ServerState)))
+    @rule(
+        name=st.sampled_from(["s0", "s1"]), state=st.sampled_from([ServerState.OPEN] * 3 + list(ServerState))
+    )
     def change(self, name: str, state: ServerState) -> None:
         self.play.feed(ListChanged((place(name, state),)))
 
-    @rule()
-    def stream(self) -> None:
-        self.broken = not self.broken
-        if self.broken:
-            self.play.out.clear()
-        self.play.feed(Stream.BROKEN if self.broken else Stream.RESUMED)
+    @rule(breaks=st.sampled_from([True, False, False, False]))
+    def stream(self, breaks: bool) -> None:
+        if breaks and not self.broken:
+            self.play.feed(Stream.BROKEN)
+            self.broken = True
+        elif self.broken:
+            self.play.feed(Stream.RESUMED)
+            self.broken = False
 
     def teardown(self) -> None:
         self.play.feed(Stream.BROKEN)
@@ -384,6 +396,6 @@
 
 
 Lifecycle.TestCase.settings = settings(
-    max_examples=120, stateful_step_count=40, deadline=None, derandomize=True
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
 )
 TestLifecycle = Lifecycle.TestCase
