--- a/martentide_lab/proxy.py
+++ b/martentide_lab/proxy.py
@@ -107,7 +107,7 @@
         self.reader = asyncio.create_task(self._read())
         line = await self.logged("serving ")
         self.callers = line.split("address=")[1].split()[0]
-        if self.operator is not None:
+        if self.operator is not None and "external-processor" in self.operator:
             self.address = (await self.logged("external-processor ")).split("address=")[1].split()[0]
 
     async def _read(self) -> None:
