--- a/martentide_lab/sim.py
+++ b/martentide_lab/sim.py
@@ -1,8 +1,9 @@
 """A small site in simulated time: real Controllers, modelled servers and callers, all from one seed.
 
 A server is one processor with one line: a set-up waits for those before it, is turned away past a longest
-wait, and is worked on even if it was given up. It reports the share to be held back, refreshed now and then. A
-cold one begins at a share of its capacity. Callers dial again, up to three times, as one story for its worth.
+wait, and is worked on even if it was given up. It reports the share to be held back, refreshed now and then.
+A cold one begins at a share of its capacity. Callers dial again, up to three times, as one story for its
+worth.
 """
 
 from __future__ import annotations
@@ -124,9 +125,8 @@
 
     def fresh(self, at: int) -> Controller:
         controller = Controller(self.settings, self.seed * 1000 + at * 10 + self.lives[at])
-        self._acted(
-            at, controller, controller.handle(self.now, ServerList(ListKind.REMEMBERED, self.entries()))
-        )
+        told = ServerList(ListKind.REMEMBERED, self.entries())
+        self._acted(at, controller.handle(self.now, told))
         return controller
 
     def restart(self, at: int, give: Callable[[Controller, Controller], None]) -> None:
