Keep the state file of version 1 for the tests

Need: a later change must not lose what an earlier program wrote without saying so. Change: the file and a test that reads it.

--- a/tests/learned/test_learned.py
+++ b/tests/learned/test_learned.py
@@ -6,6 +6,7 @@
 import errno
 import random
 from collections import Counter
+from pathlib import Path
 
 import crc32c
 import msgspec
@@ -114,6 +115,14 @@
                 write_state(learned(), PRINT)
 
 
+def test_the_file_of_each_version_that_ever_was_is_read_or_refused_as_then() -> None:
+    """A file written by version 1, kept as it was: a change that can't read it needs another version."""
+    raw = (Path(__file__).parent / "files" / "format-1-schema-1.state").read_bytes()
+    image = ImageState(0.5, 3.0, 7000.0, 1000.0)
+    server = Saved("s0", 5.0, wait=40.0, image=image, offered=(1.0, 2.0))
+    assert read_state(raw, bytes(16)) == Learned(1000.0, 7, (server,), {"7f3a": 500.0})
+
+
 def test_other_settings_and_other_files_are_refused() -> None:
     raw = write_state(learned(), PRINT)
     fewer = dataclasses.replace(SETTINGS, classes=SETTINGS.classes[:1])
