Bound the client's waits and lists; drop dead code and a second set of settings

Cause: read once more, the change held a client whose questions, unsent messages and writes had no bound; a store that took the answer of a moved folder for its own and never saved on a change of the list; functions nobody calls; settings, a clock written a second time in the lab; three tests that could not fail.

Change: each mended in its place. Measured: ruff, mypy and the tests of the parts touched pass; no file of the platform's path is changed.

--- a/benchmarks/extproc.py
+++ b/benchmarks/extproc.py
@@ -30,11 +30,12 @@
 from martentide.client import Attempt, Call, Client, Failed, Refused, Route
 from martentide.client.client import ClientClosed
 from martentide.extproc.messages import FromFront, ToFront
+from martentide.net.links import unix_ms
 from martentide_lab.checker import Checker, check_servers
 from martentide_lab.fronts import EnvoyStream, Lines
 from martentide_lab.proxy import Proxy
 from martentide_lab.relay import Relay
-from martentide_lab.servers import DRAINING, GONE, READY, Board, SessionServer, unix_ms
+from martentide_lab.servers import DRAINING, GONE, READY, Board, SessionServer
 
 CLASSES = (("status-check", 0.74), ("envelope-prep", 0.21), ("qualified-sign", 0.05))
 WORKERS = 5  # processes that play fronts in the mixed part, two fronts each
--- a/benchmarks/learned_benefit.py
+++ b/benchmarks/learned_benefit.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import random
 import statistics
@@ -16,41 +17,17 @@
 
 import click
 
-from martentide.interface import CallClass, Repeat, ReportBy, Settings
 from martentide.learned.ageing import age_state
 from martentide.learned.codec import fingerprint, read_state, write_state
 from martentide.learned.restore import restore
 from martentide.learned.snapshot import Snapshots, take
 from martentide.rules import Controller
+from martentide.settings import settings_from
+from martentide_lab.proxy import site_settings
 from martentide_lab.sim import Processor, Site
 
-SETTINGS = Settings(
-    proxies=6,
-    own_slot=0,
-    own_place=-1,
-    classes=(
-        CallClass("status-check", 1.0, 1500.0, 9000.0, 0.1, Repeat.HARMLESS, None),
-        CallClass("qualified-sign", 6.0, 1000.0, 6000.0, 0.25, Repeat.HARMLESS, None),
-        CallClass("envelope-prep", 2.0, 1200.0, 9000.0, 0.25, Repeat.HARMLESS, None),
-    ),
-    tenants=(),
-    over_share_worth=0.1,
-    report_by=ReportBy.ANSWERS,
-    lists_pushed=True,
-    may_probe=True,
-    may_tell_peers=False,
-    may_cancel=True,
-    max_attempts=5,
-    max_hold_off=2000.0,
-    release=200.0,
-    repeat_interval=800.0,
-    answer_slack=20.0,
-    cold_share=0.31,
-    cold_time=13000.0,
-    fall_multiple=2.0,
-    fall_time=3000.0,
-)
-SHARES = (0.74, 0.05, 0.21)
+SETTINGS = dataclasses.replace(settings_from(site_settings(4)), proxies=6)
+SHARES = (0.74, 0.05, 0.21)  # in the order of the settings' classes
 RATE, PLANNED = 20.0, 58.0  # set-ups/s of a warm server; calls/s of the whole site
 RESTART, SEEN = 20_000.0, 10_000.0  # ms
 START = 1_000_000.0  # Unix ms at which the day begins: 0 would be "long ago" to a server's start
--- a/martentide/client/client.py
+++ b/martentide/client/client.py
@@ -34,6 +34,10 @@
 METHOD = "/martentide.decisions.v1.Decisions/Decide"
 REDIAL = (0.02, 1.0)  # s before the next stream, the first time and at most; doubles with each that fails
 WELCOME_LIMIT = 2.0  # s in which a stream must be welcomed
+MOST_CALLS = 50_000  # open at once; beyond, a question is refused here
+MOST_UNSENT = 100_000  # messages that wait for a proxy that takes none, before its stream is given up
+WRITE_LIMIT = 2.0  # s that one write may take
+LONGEST_WAIT = 600_000.0  # ms: the bound of a question that names no time left
 LEAVE_LIMIT = 0.5  # s for the last words of a client that is closed
 IN_A_FRAME = 256  # messages written in one frame at most
 CONNECT_AFTER_BREAK = (grpc.StatusCode.NOT_FOUND, grpc.StatusCode.INVALID_ARGUMENT)  # the session is no more
@@ -229,8 +233,11 @@
         now = self.loop.time() * 1000.0
         call = Call(self, self.requests.ask(call_class, number, time_left, first_choice, now))
         self.calls[call.request] = call
-        if time_left is not None:
-            call.timer = self.loop.call_later(max(0.0, time_left) / 1000.0, self._out_of_time, call)
+        wait = LONGEST_WAIT if time_left is None else max(0.0, time_left)
+        call.timer = self.loop.call_later(wait / 1000.0, self._out_of_time, call)
+        if len(self.calls) > MOST_CALLS:
+            self.requests.cancel(call.request)
+            call._heard(Refused(call.request, 0.0, Why.FRONT_BUSY))
         self._flush()
         return call
 
@@ -318,6 +325,8 @@
     def _flush(self) -> None:
         if self.requests.to_send:
             self.wake.set()
+        if len(self.requests.to_send) > MOST_UNSENT and self.stream is not None:
+            self.stream.cancel()  # what was said is settled by the next welcome
 
     async def _run(self) -> None:
         pause, at = REDIAL[0], 0
@@ -404,7 +413,9 @@
                 if self.tap is not None:
                     for message, _ in part:
                         self.tap(message)
+                watch = self.loop.call_later(WRITE_LIMIT, stream.cancel)
                 await stream.write(pb.FrontFrame(messages=some))
+                watch.cancel()
             if self.closing:
                 leave = pb.FrontMessage(leave=pb.Leave())
                 await stream.write(pb.FrontFrame(messages=[leave]))
--- a/martentide/extproc/wire.py
+++ b/martentide/extproc/wire.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
 
 from martentide.codec import CodecError
 from martentide.codec.figures import read_report
@@ -230,7 +229,3 @@
 def write_server(entry: ServerEntry, address: str) -> pb.ProxyMessage:
     change = pb.ServerChange(server=entry.name, address=address, zone=entry.zone, state=STATES[entry.state])
     return pb.ProxyMessage(server=change)
-
-
-def frame(messages: Iterable[pb.ProxyMessage]) -> pb.ProxyFrame:
-    return pb.ProxyFrame(messages=messages)
--- a/martentide/learned/recovery.py
+++ b/martentide/learned/recovery.py
@@ -14,7 +14,7 @@
 from enum import Enum
 
 from martentide.learned.ageing import Aged, Clock, age_state
-from martentide.learned.codec import Fault, StateError, read_state
+from martentide.learned.codec import StateError, read_state
 from martentide.learned.schema import Learned
 
 
@@ -85,7 +85,7 @@
         if one is None or other is None:
             lines.append(f"{name}: {'came' if one is None else 'left'}")
             continue
-        for field in ServerFields:
+        for field in COMPARED:
             was, now = getattr(one, field), getattr(other, field)
             if was != now:
                 lines.append(f"{name}: {field}: {_short(was)} -> {_short(now)}")
@@ -94,7 +94,7 @@
     return lines
 
 
-ServerFields = (
+COMPARED = (
     "started",
     "wait",
     "lag",
@@ -112,6 +112,3 @@
     if isinstance(value, float):
         return f"{value:.1f}"
     return "none" if value is None else str(value)
-
-
-__all__ = ["Decision", "Fault", "Found", "Start", "decide", "diff"]
--- a/martentide/net/extproc/decisions.py
+++ b/martentide/net/extproc/decisions.py
@@ -14,7 +14,7 @@
 from martentide.decisions.v1 import decisions_pb2 as pb
 from martentide.extproc.ledger import Ledger, Stream
 from martentide.extproc.messages import FromFront, ToFront, Welcomed
-from martentide.extproc.sessions import Phase, Refusal, Session
+from martentide.extproc.sessions import Refusal, Session
 from martentide.extproc.wire import read_front, write_proxy, write_server
 from martentide.net.endings import Reason, log_ended
 from martentide.net.extproc.front import Front
@@ -283,6 +283,3 @@
         for member in self.members.values():
             if member.wire is not None:
                 member.wire.close(Reason.SHUTDOWN)
-
-    def connected(self) -> int:
-        return sum(member.session.phase is Phase.CONNECTED for member in self.members.values())
--- a/martentide/net/learned.py
+++ b/martentide/net/learned.py
@@ -132,6 +132,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Saved:
+    folder: DiskFolder
     size: int
     error: str
 
@@ -162,7 +163,6 @@
         self.idle = asyncio.Event()
         self.idle.set()
         self.saves = 0
-        self.longest_slice = 0.0  # s that one slice of a snapshot held the loop
 
     # ---- start --------------------------------------------------------------------------------------------
 
@@ -199,6 +199,10 @@
         self.decider.heard.append(self._heard)
         return decision
 
+    def _list_changed(self, _: object) -> None:
+        self.pacing.ask()
+        self.mailbox.put_nowait(Look())
+
     def _open(self) -> bool:
         try:
             self.folder = DiskFolder(self.path)
@@ -221,6 +225,7 @@
         self.mailbox.put_nowait(Moved(folder, pace))
 
     async def run(self) -> None:
+        self.decider.watchers.append(self._list_changed)
         self._look_at(unix_ms())
         while True:
             item = await self.mailbox.get()
@@ -249,9 +254,7 @@
         whole: Learned | None = None
         slices = self.snapshots.slices(self.decider.controller, now)
         while whole is None:
-            begun = self.loop.time()
             whole = next(slices)
-            self.longest_slice = max(self.longest_slice, self.loop.time() - begun)
             await asyncio.sleep(0)
         if (
             self.last is not None
@@ -280,9 +283,11 @@
         except StateError as error:
             said = str(error)
         with contextlib.suppress(RuntimeError):  # the program has ended
-            self.loop.call_soon_threadsafe(self.mailbox.put_nowait, Saved(size, said))
+            self.loop.call_soon_threadsafe(self.mailbox.put_nowait, Saved(folder, size, said))
 
     def _saved(self, item: Saved, now: float) -> None:
+        if item.folder is not self.folder:
+            return  # of the folder before SIGHUP moved it: its save says nothing of the one here
         self.idle.set()
         if not item.error:
             self.saves += 1
@@ -302,6 +307,7 @@
         if old is not None:
             self.worker.put(old.close)  # behind a save that may be under way there
         self.last, self.pacing = None, Pacing(item.pace)
+        self.idle.set()
         if self._open():
             log_event("state-moved", folder=self.path)
 
--- a/martentide_lab/fronts.py
+++ b/martentide_lab/fronts.py
@@ -28,7 +28,7 @@
     write_release,
 )
 from martentide.decisions.v1 import decisions_pb2 as pb
-from martentide_lab.servers import unix_ms
+from martentide.net.links import unix_ms
 
 DECIDE = "/martentide.decisions.v1.Decisions/Decide"
 PROCESS = "/envoy.service.ext_proc.v3.ExternalProcessor/Process"
--- a/martentide_lab/servers.py
+++ b/martentide_lab/servers.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import socket
-import time
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -22,14 +21,11 @@
     write_message,
     write_release,
 )
+from martentide.net.links import unix_ms
 
 READY, DRAINING, GONE = 0, 1, 2
 
 
-def unix_ms() -> float:
-    return time.time() * 1000.0
-
-
 @dataclass(slots=True)
 class Arrival:
     """One set-up as it came, and when it was over (answered, refused, given up) at the server."""
--- a/tests/extproc/test_services.py
+++ b/tests/extproc/test_services.py
@@ -13,7 +13,7 @@
 import grpc
 import pytest
 
-from martentide.client import Attempt, Call, Client, Ending, Refused, Route, Standing
+from martentide.client import Attempt, Call, Client, ClientClosed, Ending, Refused, Route, Standing
 from martentide.codec.messages import Code, Type, body_length, read_message, write_message
 from martentide.decisions.v1 import decisions_pb2 as pb
 from martentide_lab.fronts import EnvoyStream, Lines, RawFront, set_headers
@@ -346,7 +346,8 @@
             final = await front.next("refused")
             assert (final.refused.request, final.refused.why) == (3, "closing")
             await front.outcome(1, "ERROR")
-            assert (await front.next("route", "failed")) is not None
+            again = await front.next("route", "failed")
+            assert (again.route if kind(again) == "route" else again.failed).request == 1
             await front.cancel(1)
             assert await front.code() is grpc.StatusCode.UNAVAILABLE
             assert await one.proxy.ended() == 0
@@ -474,7 +475,7 @@
         async with client:
             call: Call = await client.ask("status-check", "a", 3000)
             assert call.begin()
-        with pytest.raises(Exception, match="closed"):
+        with pytest.raises(ClientClosed):
             await call.report(Attempt(Ending.ERROR))
 
     play(scene)
--- a/tests/learned/test_learned.py
+++ b/tests/learned/test_learned.py
@@ -361,7 +361,7 @@
             bench = fresh
         return count
 
-    assert sent(keep=True) < sent(keep=False)
+    assert 0 < sent(keep=True) < sent(keep=False)
 
 
 def test_a_server_that_started_anew_or_left_brings_nothing_over() -> None:
@@ -387,7 +387,7 @@
     fresh.feed(event)
     hints.heard(fresh.now, event, fresh.controller)
     assert fresh.controller.servers["s0"].image is None and hints.dropped == 1
-    assert "s1" not in fresh.controller.servers or not hints.over
+    assert set(hints.servers) == {"s1"}, "no word of the other yet"
 
 
 def test_a_redial_is_known_across_the_restart_until_the_class_gives_up() -> None:
