Keep a hung disk from the start and from SIGHUP; bound writes to fronts, say what sessions did

Cause: reading the folder of learned state at the start, and opening another at SIGHUP, waited for the disk on the loop without a bound; a folder that could not be had took the old one's place. A write on Envoy's stream, and streams of the own service whose last write is not taken, had no bound. What a ledger counts was shown nowhere.

Change: the folder is reached in a thread within 2 s, and kept where the new one can't be had; such writes settle their request in time and such streams are counted against the sessions; the line session-ended has the counts.

--- a/martentide/client/client.py
+++ b/martentide/client/client.py
@@ -414,8 +414,10 @@
                     for message, _ in part:
                         self.tap(message)
                 watch = self.loop.call_later(WRITE_LIMIT, stream.cancel)
-                await stream.write(pb.FrontFrame(messages=some))
-                watch.cancel()
+                try:
+                    await stream.write(pb.FrontFrame(messages=some))
+                finally:
+                    watch.cancel()
             if self.closing:
                 leave = pb.FrontMessage(leave=pb.Leave())
                 await stream.write(pb.FrontFrame(messages=[leave]))
--- a/martentide/net/extproc/decisions.py
+++ b/martentide/net/extproc/decisions.py
@@ -16,7 +16,7 @@
 from martentide.extproc.messages import FromFront, ToFront, Welcomed
 from martentide.extproc.sessions import Refusal, Session
 from martentide.extproc.wire import read_front, write_proxy, write_server
-from martentide.net.endings import Reason, log_ended
+from martentide.net.endings import Reason, log_ended, log_event
 from martentide.net.extproc.front import Front
 from martentide.net.extproc.host import Host
 from martentide.net.links import unix_ms
@@ -132,6 +132,7 @@
     def __init__(self, host: Host) -> None:
         self.host = host
         self.members: dict[int, Member] = {}
+        self.stuck = 0  # streams that wait for a last write, which gRPC can't end
 
     # ---- one stream ---------------------------------------------------------------------------------------
 
@@ -176,7 +177,11 @@
             if member is not None:
                 self._leave(member, stream)
         if tasks and wire.writing:
-            await asyncio.wait(tasks[:1])
+            self.stuck += 1
+            try:
+                await asyncio.wait(tasks[:1])
+            finally:
+                self.stuck -= 1
         if code is not grpc.StatusCode.OK:
             await context.abort(code, wire.detail or wire.reason.value)
 
@@ -220,6 +225,8 @@
         sessions = self.host.sessions
         if self.host.closing:
             return Refusal.CLOSING
+        if self.stuck >= sessions.terms.most:
+            return Refusal.TOO_MANY
         if not hello.session:
             opened = sessions.open(hello.front)
             if isinstance(opened, Refusal):
@@ -260,6 +267,13 @@
         member.front.task.add_done_callback(lambda _: self._forget(member))
 
     def _forget(self, member: Member) -> None:
+        counts = member.front.ledger.counts
+        log_event(
+            "session-ended",
+            front=member.session.front,
+            session=member.session.number,
+            **dict(sorted(counts.items())),
+        )
         self.members.pop(member.session.number, None)
         self.host.sessions.forget(member.session)
 
--- a/martentide/net/extproc/envoy.py
+++ b/martentide/net/extproc/envoy.py
@@ -76,7 +76,7 @@
         self.peer, self.host, self.context = peer, host, context
         self.request = 0
         self.inbox: asyncio.Queue[ToFront] = asyncio.Queue()
-        self.asked = self.stands = self.over = False
+        self.asked = self.stands = self.over = self.left = False
         self.route: Route | None = None
         self.sent_at = 0.0
         self.reading: asyncio.Task[Any] | None = None
@@ -108,7 +108,7 @@
         try:
             asked = headers.read_ask(asked_headers.headers, part.headers)
         except headers.HeaderError as error:
-            await self.context.write(headers.write_bad_request(str(error)))
+            await self._write(headers.write_bad_request(str(error)))
             raise Closed from None
         self.asked = True
         self.request = next(self.peer.numbers)  # in the order of the questions
@@ -127,11 +127,11 @@
             message = await self._next()
             if isinstance(message, Route):
                 self.route, self.sent_at = message, self.host.loop.time()
-                await self.context.write(headers.write_route(message, part.headers))
+                await self._write(headers.write_route(message, part.headers))
                 return
             if isinstance(message, Refused | Failed):
                 self.over = True
-                await self.context.write(headers.write_final(message, part.statuses))
+                await self._write(headers.write_final(message, part.statuses))
                 raise Closed
             if isinstance(message, ep.ProcessingRequest):
                 await self._pass(message)  # a body that comes before the verdict
@@ -156,7 +156,7 @@
                     self.over = True
                     raise Gone(message.why.value)
         self.route = None
-        await self.context.write(headers.write_passed(final))
+        await self._write(headers.write_passed(final))
 
     async def _pass(self, message: Any) -> None:
         self.parts += 1
@@ -164,7 +164,19 @@
             raise headers.HeaderError(f"more than {MOST_PARTS} messages on one stream")
         answer = headers.write_continue(message.WhichOneof("request") or "")
         if answer is not None:
+            await self._write(answer)
+
+    async def _write(self, answer: ep.ProcessingResponse) -> None:
+        """gRPC can't take a write back: one that is not taken in time settles the request, and is waited for
+        by this stream alone."""
+        limit = self.host.streams.blocked_ms / 1000.0
+        watch = self.host.loop.call_later(limit, self.leave)
+        try:
             await self.context.write(answer)
+        finally:
+            watch.cancel()
+        if self.left:
+            raise Closed
 
     async def _read(self) -> ep.ProcessingRequest:
         message = await self.context.read()
@@ -193,7 +205,10 @@
         return read.result()
 
     def leave(self) -> None:
-        """The stream is over, whatever the reason: what it had open is settled."""
+        """The stream is over, whatever the reason: what it had open is settled, once."""
+        if self.left:
+            return
+        self.left = True
         for task in (self.reading, self.hearing):
             if task is not None:
                 task.cancel()
--- a/martentide/net/learned.py
+++ b/martentide/net/learned.py
@@ -22,7 +22,7 @@
 from martentide.learned.codec import StateError, fingerprint, write_state
 from martentide.learned.files import load, save
 from martentide.learned.pacing import Pace, Pacing
-from martentide.learned.recovery import Decision, decide
+from martentide.learned.recovery import Decision, Found, decide
 from martentide.learned.restore import Hints, restore
 from martentide.learned.schema import Learned
 from martentide.learned.snapshot import Snapshots
@@ -31,6 +31,7 @@
 from martentide.net.links import unix_ms
 
 LOCK = "lock"
+REACH_LIMIT = 2.0  # s for a folder to be opened, locked and read
 LAST_SAVE = 1.0  # s for the save at the end; a disk that takes longer keeps the state before
 
 
@@ -166,13 +167,15 @@
 
     # ---- start --------------------------------------------------------------------------------------------
 
-    def start(self) -> Decision | None:
-        """Open the folder and take up what is there; None where the folder can't be had. Never raises."""
-        if not self._open():
+    async def start(self) -> Decision | None:
+        """Open the folder and take up what is there; None where it can't be had in time. Never raises."""
+        reached = await self._reach(self.path)
+        if isinstance(reached, str):
+            LOG.warning("state-off", folder=self.path, detail=repr(reached))
             return None
-        assert self.folder is not None
+        self.folder, files = reached
         now, begun = unix_ms(), time.perf_counter()
-        decision = decide(load(self.folder), self.print, now)
+        decision = decide(files, self.print, now)
         load_ms = round((time.perf_counter() - begun) * 1000.0, 2)
         for name, why in decision.refused:
             LOG.warning("state-refused", file=name, detail=repr(why))
@@ -203,14 +206,33 @@
         self.pacing.ask()
         self.mailbox.put_nowait(Look())
 
-    def _open(self) -> bool:
+    async def _reach(self, path: str) -> tuple[DiskFolder, list[Found]] | str:
+        """Open, lock and read a folder, in a thread of its own: a disk that hangs must not keep the program
+        from its start, nor hold it up at SIGHUP. A text says why it can't be had."""
+        answer: asyncio.Future[tuple[DiskFolder, list[Found]] | str] = self.loop.create_future()
+
+        def done(found: tuple[DiskFolder, list[Found]] | str) -> None:
+            if not answer.done():
+                answer.set_result(found)
+            elif not isinstance(found, str):
+                found[0].close()  # too late: the program goes on without
+
+        def reach() -> None:
+            try:
+                folder = DiskFolder(path)
+                found: tuple[DiskFolder, list[Found]] | str = (folder, load(folder))
+            except OSError as error:
+                busy = error.errno == errno.EAGAIN
+                found = "another proxy has it" if busy else error.strerror or str(error)
+            with contextlib.suppress(RuntimeError):  # the program has ended
+                self.loop.call_soon_threadsafe(done, found)
+
+        threading.Thread(target=reach, name="learned-state-open", daemon=True).start()
         try:
-            self.folder = DiskFolder(self.path)
-        except OSError as error:
-            why = "another proxy has it" if error.errno == errno.EAGAIN else error.strerror
-            LOG.warning("state-off", folder=self.path, detail=repr(why))
-            return False
-        return True
+            async with asyncio.timeout(REACH_LIMIT):
+                return await answer
+        except TimeoutError:
+            return f"no answer within {REACH_LIMIT:.0f} s"
 
     def _heard(self, now: float, event: Event) -> None:
         assert self.hints is not None
@@ -234,7 +256,7 @@
                 case Saved():
                     self._saved(item, now)
                 case Moved():
-                    self._moved(item)
+                    await self._moved(item)
                 case Look():
                     pass
             if self.pacing.hangs(now):
@@ -299,17 +321,24 @@
         wait = self.pacing.failed(now)
         LOG.warning("state-not-saved", folder=self.path, detail=repr(item.error), again_in_s=wait / 1000.0)
 
-    def _moved(self, item: Moved) -> None:
+    async def _moved(self, item: Moved) -> None:
+        """To another folder, if that can be had; else the old one stays."""
         self.pacing.pace = item.pace
         if item.folder == self.path:
             return
-        old, self.folder, self.path = self.folder, None, item.folder
+        reached = await self._reach(item.folder)
+        if isinstance(reached, str):
+            LOG.warning("state-not-moved", folder=item.folder, detail=repr(reached))
+            return
+        old, (self.folder, files) = self.folder, reached
+        self.path = item.folder
         if old is not None:
             self.worker.put(old.close)  # behind a save that may be under way there
+        sequence = decide(files, self.print, unix_ms()).sequence
+        self.snapshots.sequence = max(self.snapshots.sequence, sequence)
         self.last, self.pacing = None, Pacing(item.pace)
         self.idle.set()
-        if self._open():
-            log_event("state-moved", folder=self.path)
+        log_event("state-moved", folder=self.path)
 
     async def stop(self) -> None:
         """One last save, if the disk takes it within LAST_SAVE; after ``run`` was cancelled."""
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -113,7 +113,7 @@
         from martentide.net.learned import Store
 
         store = Store(state.folder, state.pace(), config.settings, decider, config.seed)
-        store.start()
+        await store.start()
     processor: ExternalProcessorServer | None = None
     if part is not None:
         from martentide.net.extproc.server import ExternalProcessorServer  # its libraries come with it
--- a/tests/extproc/test_services.py
+++ b/tests/extproc/test_services.py
@@ -74,11 +74,21 @@
             assert [len(server.arrivals) for server in one.servers] == [1, 1]
             done.call.over()
         assert "reason=peer-closed" in await one.proxy.logged("role=front peer=edge/1")
+        assert " asked=1 " in await one.proxy.logged("session-ended front=edge")
         lines.close()
 
     play(scene)
 
 
+def test_a_stream_that_says_nothing_is_closed() -> None:
+    async def scene(one: Scene) -> None:
+        async with RawFront(one.proxy.address) as front:
+            await front.open()
+            assert await front.code() is grpc.StatusCode.DEADLINE_EXCEEDED
+
+    play(scene)
+
+
 def test_a_cancel_crossing_the_verdict_leaves_one_final() -> None:
     async def scene(one: Scene) -> None:
         async with one.raw() as front:
--- a/tests/learned/test_store.py
+++ b/tests/learned/test_store.py
@@ -60,7 +60,7 @@
 def play(folder: Path, scene: Callable[[Site], Awaitable[None]], servers: int = 2) -> None:
     async def run() -> None:
         site = Site(folder, servers)
-        site.store.start()
+        await site.store.start()
         task = asyncio.create_task(site.store.run())
         try:
             await scene(site)
@@ -152,6 +152,26 @@
     play(tmp_path, scene)
 
 
+def test_a_disk_that_hangs_at_the_start_is_done_without(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    free = threading.Event()
+    real = os.makedirs
+
+    def hang(path: str, mode: int = 0o777, exist_ok: bool = False) -> None:
+        free.wait(LIMIT)
+        real(path, mode, exist_ok)
+
+    monkeypatch.setattr("martentide.net.learned.os.makedirs", hang)
+    monkeypatch.setattr("martentide.net.learned.REACH_LIMIT", 0.05)
+
+    async def scene(site: Site) -> None:
+        assert site.store.folder is None
+        free.set()
+
+    play(tmp_path, scene)
+
+
 def test_a_folder_replaced_by_a_symlink_is_not_followed(tmp_path: Path) -> None:
     folder, other = tmp_path / "state", tmp_path / "other"
     other.mkdir()
@@ -170,7 +190,7 @@
     async def scene(site: Site) -> None:
         await site.until(lambda: site.store.saves >= 1)
         second = Site(tmp_path)
-        assert second.store.start() is None and second.store.folder is None
+        assert await second.store.start() is None and second.store.folder is None
 
     play(tmp_path, scene)
 
@@ -244,6 +264,10 @@
         await proxy.logged("state-moved")
         while not (tmp_path / "b" / STATE).exists():
             await asyncio.sleep(0.01)
+        (tmp_path / "file").touch()
+        proxy.write(text(tmp_path / "file"))
+        proxy.send(signal.SIGHUP)
+        await proxy.logged("state-not-moved")
 
     program(scene, text(tmp_path / "a"))
 
