--- a/martentide/extproc/ledger.py
+++ b/martentide/extproc/ledger.py
@@ -27,6 +27,7 @@
 from enum import Enum
 from math import isfinite
 
+from martentide.carriage import Ended, Stood
 from martentide.extproc.limits import Admission
 from martentide.extproc.messages import (
     Ask,
@@ -163,25 +164,6 @@
     key: int
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptStands:
-    ref: int
-    attempt: int
-    server: str
-    lag: float
-
-
-@dataclass(frozen=True, slots=True)
-class AttemptOver:
-    ref: int
-    attempt: int
-    server: str
-    ending: Ending
-    lines_full: bool
-    lag: float
-    report: Report | None
-
-
 @dataclass(frozen=True, slots=True)
 class Wake:
     """Feed ``Due(key, kind)`` at ``at``; it takes the place of an earlier one of that key and kind."""
@@ -197,7 +179,7 @@
     kind: str
 
 
-Effect = Say | Offered | Left | AttemptStands | AttemptOver | Wake | Unwake
+Effect = Say | Offered | Left | Stood | Ended | Wake | Unwake
 
 
 class State(Enum):
@@ -355,9 +337,7 @@
 
     def _not_sent(self, order: Carry) -> None:
         self.counts["not_sent"] += 1
-        self.effects.append(
-            AttemptOver(order.ref, order.attempt, order.server, Ending.NOT_SENT, False, 0.0, None)
-        )
+        self.effects.append(Ended(order.ref, order.attempt, order.server, Ending.NOT_SENT, False, 0.0, None))
 
     def _decided(self, now: float, decided: Decided) -> None:
         one = self.open.get(decided.key)
@@ -396,7 +376,7 @@
             one.state = State.STANDS
             self._unwake(one, "cutoff")
             self.counts["stands"] += 1
-            self.effects.append(AttemptStands(one.ref, one.attempt, one.server, lag))
+            self.effects.append(Stood(one.ref, one.attempt, one.server, lag, b""))
             self._say(Standing(one.request))
             return
         self._attempt_over(one, now, outcome.ending, outcome, lag)
@@ -413,7 +393,7 @@
         one.state, one.asked_at = State.PENDING, now
         self._unwake(one, "lease")
         self.admission.asked_again(self.front)
-        over = AttemptOver(
+        over = Ended(
             one.ref,
             one.attempt,
             one.server,
@@ -473,7 +453,7 @@
     def _end_standing(self, one: Request, ending: Ending, report: Report | None) -> None:
         self._close(one)
         self.counts["over"] += 1
-        self.effects.append(AttemptOver(one.ref, one.attempt, one.server, ending, False, 0.0, report))
+        self.effects.append(Ended(one.ref, one.attempt, one.server, ending, False, 0.0, report))
 
     # ---- withdrawals, time-outs, the list -----------------------------------------------------------------
 
@@ -527,7 +507,7 @@
         self.effects.append(Left(one.key))
         if one.state is State.ROUTED:
             lag = now - one.routed_at
-            self.effects.append(AttemptOver(one.ref, one.attempt, one.server, ending, False, lag, None))
+            self.effects.append(Ended(one.ref, one.attempt, one.server, ending, False, lag, None))
         else:
             self.admission.decided(self.front)
             if one.deferred is not None:
--- a/martentide/net/decider.py
+++ b/martentide/net/decider.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from martentide.carriage import Ended, Order, Stood, Withdraw
 from martentide.codec.board import Listed, Notice
 from martentide.interface import (
     Action,
@@ -28,7 +29,6 @@
     Probe,
     ProbeEnded,
     Refuse,
-    Report,
     SendSetUp,
     ServerList,
     ServerState,
@@ -97,57 +97,11 @@
 # ---- the session servers' side --------------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
-class Order:
-    """Set a call up at a server and wait ``patience`` ms for what it says; one Ended is owed for it."""
-
-    ref: int
-    attempt: int
-    call: bytes
-    server: str
-    call_class: bytes
-    number: bytes
-    description: bytes
-    patience: float
-
-
-@dataclass(frozen=True, slots=True)
-class Withdraw:
-    """Take an attempt back; ``hang_up``: also when it stands by now."""
-
-    ref: int
-    attempt: int
-    call: bytes
-    hang_up: bool
-
-
 @dataclass(frozen=True, slots=True)
 class Probing:
     """Ask a server for a sign of life and its report."""
 
 
-@dataclass(frozen=True, slots=True)
-class Stood:
-    ref: int
-    attempt: int
-    server: str
-    lag: float
-    description: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Ended:
-    """The one end of an ordered attempt, also of one that stood."""
-
-    ref: int
-    attempt: int
-    server: str
-    ending: Ending
-    lines_full: bool
-    lag: float
-    report: Report | None
-
-
 class Carrier(Protocol):
     """Carries attempts and posts what comes of each: Stood if it stands, and one Ended at its end."""
 
--- a/martentide/net/extproc/front.py
+++ b/martentide/net/extproc/front.py
@@ -9,10 +9,9 @@
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
 
+from martentide.carriage import Ended, Order, Stood, Withdraw
 from martentide.codec.board import Listed
 from martentide.extproc.ledger import (
-    AttemptOver,
-    AttemptStands,
     Carry,
     Decided,
     Due,
@@ -31,7 +30,7 @@
     Wake,
 )
 from martentide.extproc.messages import ToFront
-from martentide.net.decider import Decider, Ended, GiveUp, Offer, Order, Stood, Withdraw
+from martentide.net.decider import Decider, GiveUp, Offer
 from martentide.net.endings import LOG
 from martentide.net.links import unix_ms
 
@@ -147,20 +146,8 @@
                 )
             case Left(key):
                 self.decider.post(GiveUp(call_id(key)))
-            case AttemptStands(ref, attempt, server, lag):
-                self.decider.post(Stood(ref, attempt, server, lag, b""))
-            case AttemptOver():
-                self.decider.post(
-                    Ended(
-                        effect.ref,
-                        effect.attempt,
-                        effect.server,
-                        effect.ending,
-                        effect.lines_full,
-                        effect.lag,
-                        effect.report,
-                    )
-                )
+            case Stood() | Ended():
+                self.decider.post(effect)
 
     def _due(self, key: int, kind: str) -> None:
         self.timers.pop((key, kind), None)
--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -13,12 +13,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from martentide.carriage import Ended, Order, Stood, Withdraw
 from martentide.codec import CodecError
 from martentide.codec.board import Listed
 from martentide.codec.figures import read_report
 from martentide.codec.messages import Cause, Code, Message, Type, write_message, write_release
 from martentide.interface import Ending, ProbeEnded, Report, ServerState
-from martentide.net.decider import Ended, Order, Probing, Stood, Withdraw
+from martentide.net.decider import Probing
 from martentide.net.endings import LOG, Reason, log_ended
 from martentide.net.links import Link, LinkEnded, Received, unix_ms
 
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -8,12 +8,13 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from martentide.carriage import Ended, Order, Withdraw
 from martentide.codec.board import Listed, Notice
 from martentide.interface import Ending, ListKind, ProbeEnded, ServerState
 from martentide.net.board import Board, Moved
 from martentide.net.callers import Callers
 from martentide.net.config import Config, ConfigError
-from martentide.net.decider import Decider, Ended, Order, Probing, ServerActor, Withdraw
+from martentide.net.decider import Decider, Probing, ServerActor
 from martentide.net.endings import LOG, log_event
 from martentide.net.servers import Server
 from martentide.rules import Controller
--- a/martentide/operator.py
+++ b/martentide/operator.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import difflib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Annotated, Any, TypeVar
 
@@ -224,10 +224,7 @@
 def _external_processor(node: ckdl.Node, path: str) -> ExternalProcessor:
     where = f"{path}: {node.name}"
     values: dict[str, Any] = {}
-    for child in node.children:
-        here = f"{where}/{child.name}"
-        if child.name in values:
-            raise OperatorError(f"{here}: stands there twice")
+    for child, here in _children(node, where):
         if child.name == "listen":
             values["listen"] = _one(child, str, "an address HOST:PORT", here)
             host, colon, port = values["listen"].rpartition(":")
@@ -255,10 +252,7 @@
 def _learned_state(node: ckdl.Node, path: str) -> LearnedState:
     where = f"{path}: {node.name}"
     values: dict[str, Any] = {}
-    for child in node.children:
-        here = f"{where}/{child.name}"
-        if child.name in values:
-            raise OperatorError(f"{here}: stands there twice")
+    for child, here in _children(node, where):
         if child.name == "folder":
             values["folder"] = _one(child, str, "a path", here)
             if not values["folder"].startswith("/"):
@@ -278,6 +272,17 @@
 }
 
 
+def _children(node: ckdl.Node, where: str) -> Iterator[tuple[ckdl.Node, str]]:
+    """The nodes inside and where each stands; each name once."""
+    seen: set[str] = set()
+    for child in node.children:
+        here = f"{where}/{child.name}"
+        if child.name in seen:
+            raise OperatorError(f"{here}: stands there twice")
+        seen.add(child.name)
+        yield child, here
+
+
 def _one(node: ckdl.Node, kind: type, expected: str, where: str) -> Any:
     if len(node.args) != 1 or node.properties or node.children or type(node.args[0]) is not kind:
         found = ", ".join(repr(value) for value in node.args) or "none"
--- a/tests/extproc/support.py
+++ b/tests/extproc/support.py
@@ -7,9 +7,8 @@
 from dataclasses import replace
 from typing import Any
 
+from martentide.carriage import Ended, Stood
 from martentide.extproc.ledger import (
-    AttemptOver,
-    AttemptStands,
     Carry,
     Decided,
     Due,
@@ -96,7 +95,7 @@
             case Left(key):
                 assert key not in self.left, "left twice"
                 self.left.add(key)
-            case AttemptOver(ref=ref, attempt=attempt):
+            case Ended(ref=ref, attempt=attempt):
                 request = self.offered[ref]
                 if effect.ending in (Ending.TIMED_OUT, Ending.CUT, Ending.CANCELLED):
                     self.free_at[request] = self.now + self.terms.release
@@ -104,7 +103,7 @@
                     self.ended.setdefault(request, set()).add(attempt)
                 self.booked[ref, attempt] -= 1
                 assert self.booked[ref, attempt] == 0, "two ends for one order"
-            case AttemptStands(ref=ref, attempt=attempt):
+            case Stood(ref=ref, attempt=attempt):
                 assert self.booked[ref, attempt] == 1, "stands, but was over"
             case Say(message):
                 self.said.append(message)
--- a/tests/extproc/test_ledger.py
+++ b/tests/extproc/test_ledger.py
@@ -36,9 +36,9 @@
     assert kinds(play.ask(5)) == ["Offered"]
     assert kinds(play.carry(5)) == ["Route"]
     assert play.said[-1] == Route(5, 0, "s0", "127.0.0.1:7000", "z", 800.0, 800.0)
-    assert kinds(play.outcome(5, None)) == ["AttemptStands", "Standing"]
+    assert kinds(play.outcome(5, None)) == ["Stood", "Standing"]
     play.advance(60_000.0)
-    assert kinds(play.feed(Over(5, cut=False))) == ["AttemptOver"]
+    assert kinds(play.feed(Over(5, cut=False))) == ["Ended"]
     play.settled()
 
 
@@ -46,9 +46,9 @@
     play = Play()
     play.ask(1)
     play.carry(1)
-    assert kinds(play.outcome(1, Ending.FULL)) == ["AttemptOver"]
+    assert kinds(play.outcome(1, Ending.FULL)) == ["Ended"]
     play.carry(1, 1, "s1")
-    assert kinds(play.outcome(1, Ending.ERROR, 1)) == ["AttemptOver"]
+    assert kinds(play.outcome(1, Ending.ERROR, 1)) == ["Ended"]
     assert kinds(play.decide(1, None)) == ["Failed"]
     play.settled()
 
@@ -83,7 +83,7 @@
     assert not play.said
     play.advance(0.5)
     assert said(play) == [("Refused", Why.DEADLINE)] and play.ledger.counts["refused_deadline"] == 1
-    assert kinds(play.carry(1)) == ["AttemptOver"], "an order that was on its way still has its end"
+    assert kinds(play.carry(1)) == ["Ended"], "an order that was on its way still has its end"
     assert play.decide(1, 0.0) == []
     play.settled()
 
@@ -116,7 +116,7 @@
     assert said(play)[1:] == []
     play.advance(1.0)
     assert said(play)[1:] == [("Withdrawn", Why.PATIENCE)]
-    over = [effect for effect in play.effects if type(effect).__name__ == "AttemptOver"]
+    over = [effect for effect in play.effects if type(effect).__name__ == "Ended"]
     assert [one.ending for one in over] == [Ending.TIMED_OUT]  # type: ignore[union-attr]
     assert kinds(play.outcome(1, Ending.FULL)) == []
     assert kinds(play.outcome(1, None)) == ["Withdrawn"], "what stands too late must be released"
@@ -146,11 +146,11 @@
     play = Play(Terms(most_attempts=2))
     play.ask(1)
     play.carry(1)
-    assert kinds(play.carry(1, 1)) == ["AttemptOver"]
+    assert kinds(play.carry(1, 1)) == ["Ended"]
     play.outcome(1, Ending.FULL)
     play.carry(1, 2)
     play.outcome(1, Ending.FULL, 2)
-    assert kinds(play.carry(1, 3)) == ["AttemptOver"]
+    assert kinds(play.carry(1, 3)) == ["Ended"]
     play.decide(1, 0.0)
     play.settled()
 
@@ -211,7 +211,7 @@
         play.carry(request)
     play.feed(ListChanged((place("s0", ServerState.DRAINING),)))
     assert play.said[2:] == [Withdrawn(n, 0, True, Why.DRAINING) for n in (1, 2)]
-    assert kinds(play.carry(1, 1)) == ["AttemptOver"], "no route to a server that drains"
+    assert kinds(play.carry(1, 1)) == ["Ended"], "no route to a server that drains"
     play.outcome(1, Ending.NOT_SENT)
     play.carry(1, 1, "s1")
     play.outcome(2, None)  # it was in use already, and goes on
@@ -259,7 +259,7 @@
     play.feed(Stream.BROKEN)
     play.advance(2000.0)
     play.feed(Stream.EXPIRED)
-    over = [effect for effect in play.effects if type(effect).__name__ == "AttemptOver"]
+    over = [effect for effect in play.effects if type(effect).__name__ == "Ended"]
     assert [one.ending for one in over] == [Ending.CUT]  # type: ignore[union-attr]
     play.advance(7999.0)
     assert len(play.ledger.open) == 1
@@ -285,7 +285,7 @@
     for request, ending in ((1, Ending.FULL), (2, Ending.ERROR)):
         play.ask(request)
         play.carry(request)
-        assert kinds(play.outcome(request, ending))[:2] == ["Left", "AttemptOver"]
+        assert kinds(play.outcome(request, ending))[:2] == ["Left", "Ended"]
     assert [name for name, _ in said(play)] == ["Route", "Refused", "Route", "Failed"]
     play.settled()
 
--- a/tests/learned/test_store.py
+++ b/tests/learned/test_store.py
@@ -14,11 +14,12 @@
 
 import pytest
 
+from martentide.carriage import Order, Withdraw
 from martentide.codec.board import Listed, Notice
 from martentide.learned.codec import fingerprint, read_state
 from martentide.learned.files import OLD, STATE
 from martentide.learned.pacing import Pace
-from martentide.net.decider import Decider, Order, Probing, Withdraw
+from martentide.net.decider import Decider, Probing
 from martentide.net.learned import Store
 from martentide.rules import Controller
 from martentide_lab.proxy import ROOT, Proxy
--- a/tests/net/test_decider.py
+++ b/tests/net/test_decider.py
@@ -6,9 +6,10 @@
 from collections.abc import Callable
 from typing import Any
 
+from martentide.carriage import Ended, Order, Stood, Withdraw
 from martentide.codec.board import Listed, Notice
 from martentide.interface import Action, CancelAttempt, Ending, Event, SetTimer, SetUpOffered, Stands
-from martentide.net.decider import Decider, Ended, GiveUp, Offer, Order, Probing, Stood, Withdraw
+from martentide.net.decider import Decider, GiveUp, Offer, Probing
 from martentide.rules import Controller
 from martentide.settings import settings_from
 from tests.net.support import SETTINGS
