--- /dev/null
+++ b/martentide/client/client.py
@@ -0,0 +1,441 @@
+"""The client on gRPC: one stream to one proxy, many requests; it comes back after a break by itself."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from types import TracebackType
+from typing import Any
+
+import martentide.grpc_engine  # noqa: F401  (before grpc)
+import grpc
+
+from martentide.client.state import Passed, Renumbered, Requests
+from martentide.decisions.v1 import decisions_pb2 as pb
+from martentide.extproc.messages import (
+    Cancelled,
+    Failed,
+    FromFront,
+    Refused,
+    Release,
+    Route,
+    Standing,
+    ToFront,
+    Why,
+    Withdrawn,
+)
+from martentide.extproc.wire import read_proxy, write_front
+from martentide.interface import Ending
+
+METHOD = "/martentide.decisions.v1.Decisions/Decide"
+REDIAL = (0.02, 1.0)  # s before the next stream, the first time and at most; doubles with each that fails
+WELCOME_LIMIT = 2.0  # s in which a stream must be welcomed
+LEAVE_LIMIT = 0.5  # s for the last words of a client that is closed
+IN_A_FRAME = 256  # messages written in one frame at most
+CONNECT_AFTER_BREAK = (grpc.StatusCode.NOT_FOUND, grpc.StatusCode.INVALID_ARGUMENT)  # the session is no more
+
+Verdict = Route | Refused | Failed | Standing | Cancelled
+
+
+class ClientClosed(Exception):
+    """The client was closed while the call was open."""
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """What came of one attempt. ``ending`` None: it stands; ``report``: the server's report as it came."""
+
+    ending: Ending | None
+    lines_full: bool = False
+    report: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Carried:
+    """How ``Client.carry`` ended: the one final, the attempts made, and the call, which may stand."""
+
+    final: Refused | Failed | Standing | Cancelled
+    attempts: int
+    call: Call
+
+
+class Call:
+    """One request. ``verdict`` is the last one; a call that stands ends by ``over``."""
+
+    def __init__(self, client: Client, request: int) -> None:
+        self.client, self.request = client, request
+        self.loop = client.loop
+        self.verdicts: asyncio.Queue[Verdict | None] = asyncio.Queue()  # None: the client was closed
+        self.verdict: Verdict | None = None
+        self.routed_at = 0.0
+        self.revoked = asyncio.Event()  # the attempt must be given up, and released if it stands
+        self.released = asyncio.Event()  # the call stood and is over at its server
+        self.timer: asyncio.TimerHandle | None = None
+        self.asked_at = self.loop.time()
+
+    @property
+    def final(self) -> bool:
+        return self.verdict is not None and not isinstance(self.verdict, Route)
+
+    async def next(self) -> Verdict:
+        """The next verdict: the answer to the question, or to the outcome reported last."""
+        verdict = await self.verdicts.get()
+        if verdict is None:
+            raise ClientClosed("the client was closed")
+        return verdict
+
+    def begin(self) -> bool:
+        """Say that the attempt's first byte goes out now. False: it must not; await ``next`` then."""
+        route = self.verdict
+        if not isinstance(route, Route):
+            return False
+        if (self.loop.time() - self.routed_at) * 1000.0 > route.valid_for:
+            self.client.report(self, Attempt(Ending.NOT_SENT))
+            return False
+        return self.client.requests.begin(self.request)
+
+    async def report(self, attempt: Attempt) -> Verdict:
+        """Say what came of the attempt; returns what follows from it."""
+        self.client.report(self, attempt)
+        return await self.next()
+
+    def cancel(self) -> None:
+        """The caller has left. What was out has been given up; nothing more comes."""
+        self.client.cancel(self)
+
+    def over(self, cut: bool = False, report: str = "") -> None:
+        """A call that stood is over."""
+        self.client.over(self, cut, report)
+
+    def _heard(self, message: ToFront) -> None:
+        if isinstance(message, Withdrawn):
+            self.revoked.set()
+            return
+        if isinstance(message, Release):
+            self.released.set()
+            self._done()
+            return
+        if self.final:
+            return
+        if isinstance(message, Route):
+            self.revoked.clear()
+            self.routed_at = self.loop.time()
+        elif self.timer is not None:
+            self.timer.cancel()
+        assert isinstance(message, Route | Refused | Failed | Standing | Cancelled)
+        self.verdict = message
+        self.verdicts.put_nowait(message)
+        if self.final and not isinstance(message, Standing):
+            self._done()
+
+    def _done(self) -> None:
+        self.client.calls.pop(self.request, None)
+        if self.timer is not None:
+            self.timer.cancel()
+
+    def _closed(self) -> None:
+        self.verdicts.put_nowait(None)
+        self._done()
+
+
+class Client:
+    """Connects to the first of ``addresses`` that welcomes it, and stays with it until it breaks for good.
+
+    ``tap`` sees each message as it goes on the wire or came from it, for logs and tests.
+    """
+
+    def __init__(
+        self, addresses: Sequence[str], front: str, tap: Callable[[FromFront | ToFront], None] | None = None
+    ) -> None:
+        if not addresses:
+            raise ValueError("addresses: expected one at least")
+        self.addresses, self.front, self.tap = list(addresses), front, tap
+        self.loop = asyncio.get_running_loop()
+        self.requests = Requests()
+        self.calls: dict[int, Call] = {}
+        self.servers: dict[str, pb.ServerChange] = {}
+        self.token = b""
+        self.lease = 0.0
+        self.wake = asyncio.Event()
+        self.connected = asyncio.Event()
+        self.going_away = self.closing = False
+        self.breaks = 0
+        self.stream: Any = None
+        self.task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Client:
+        self.task = self.loop.create_task(self._run(), name=f"client {self.front}")
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Take leave: say what is still to be said and end the stream. Calls that wait for a verdict raise
+        ClientClosed."""
+        if self.task is not None:
+            await self._take_leave()
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+            self.task = None
+        for call in list(self.calls.values()):
+            call._closed()
+
+    async def _take_leave(self) -> None:
+        if not self.connected.is_set():
+            return
+        self.closing = True
+        self.wake.set()
+        try:
+            async with asyncio.timeout(LEAVE_LIMIT):
+                while self.connected.is_set():
+                    await asyncio.sleep(0.005)
+        except TimeoutError:
+            return  # the proxy does not hear; the cancel that follows ends the stream
+
+    # ---- calls --------------------------------------------------------------------------------------------
+
+    async def ask(
+        self,
+        call_class: str,
+        number: str | None = None,
+        time_left: float | None = None,
+        first_choice: int = -1,
+    ) -> Call:
+        """Ask about a request; returns with its first verdict. ``time_left`` ms: there is a verdict by then,
+        from the proxy or, should it be out of reach, a refusal made here."""
+        call = self.ask_nowait(call_class, number, time_left, first_choice)
+        try:
+            await call.next()
+        except asyncio.CancelledError:
+            call.cancel()
+            raise
+        return call
+
+    def ask_nowait(
+        self,
+        call_class: str,
+        number: str | None = None,
+        time_left: float | None = None,
+        first_choice: int = -1,
+    ) -> Call:
+        """The same without waiting: ``await call.next()`` brings the verdict."""
+        now = self.loop.time() * 1000.0
+        call = Call(self, self.requests.ask(call_class, number, time_left, first_choice, now))
+        self.calls[call.request] = call
+        if time_left is not None:
+            call.timer = self.loop.call_later(max(0.0, time_left) / 1000.0, self._out_of_time, call)
+        self._flush()
+        return call
+
+    def report(self, call: Call, attempt: Attempt) -> None:
+        lag = (self.loop.time() - call.routed_at) * 1000.0
+        self.requests.report(call.request, attempt.ending, lag, attempt.lines_full, attempt.report)
+        self._flush()
+
+    def cancel(self, call: Call) -> None:
+        self.requests.cancel(call.request)
+        call._heard(Cancelled(call.request))
+        call._done()
+        self._flush()
+
+    def over(self, call: Call, cut: bool = False, report: str = "") -> None:
+        self.requests.over(call.request, cut, report)
+        call._done()
+        self._flush()
+
+    def _out_of_time(self, call: Call) -> None:
+        """No final in time: the caller gets one made here, and the proxy is told that nobody waits."""
+        if call.final:
+            return
+        routed = isinstance(call.verdict, Route)
+        self.requests.cancel(call.request)
+        call.revoked.set()
+        late = Failed(call.request, Why.DEADLINE) if routed else Refused(call.request, 0.0, Why.DEADLINE)
+        call._heard(late)
+        self._flush()
+
+    async def carry(
+        self,
+        call_class: str,
+        attempt: Callable[[Route], Awaitable[Attempt]],
+        number: str | None = None,
+        time_left: float | None = None,
+        first_choice: int = -1,
+    ) -> Carried:
+        """Ask, make the attempts, report them, until the final.
+
+        ``attempt`` sets the call up at the route's address. It is cancelled when its patience is over or the
+        proxy withdraws it, and must give the set-up up then; an exception from it counts as an error.
+        """
+        call = self.ask_nowait(call_class, number, time_left, first_choice)
+        made = 0
+        try:
+            verdict = await call.next()
+            while isinstance(verdict, Route):
+                if not call.begin():
+                    verdict = await call.next()
+                    continue
+                made += 1
+                done = await self._attempt(call, verdict, attempt)
+                if done is None:  # withdrawn: nothing is reported
+                    verdict = await call.next()
+                else:
+                    verdict = await call.report(done)
+        except asyncio.CancelledError:
+            call.cancel()
+            raise
+        return Carried(verdict, made, call)
+
+    async def _attempt(
+        self, call: Call, route: Route, attempt: Callable[[Route], Awaitable[Attempt]]
+    ) -> Attempt | None:
+        work = asyncio.ensure_future(attempt(route))
+        revoked = asyncio.ensure_future(call.revoked.wait())
+        left = route.patience / 1000.0 - (self.loop.time() - call.routed_at)
+        try:
+            await asyncio.wait((work, revoked), timeout=max(0.0, left), return_when=asyncio.FIRST_COMPLETED)
+            if work.done():
+                try:
+                    return work.result()
+                except Exception:
+                    return Attempt(Ending.ERROR)
+            return None if revoked.done() else Attempt(Ending.TIMED_OUT)
+        finally:
+            for task in (work, revoked):
+                task.cancel()
+            # The give-up is written before the outcome is said, and before any other attempt.
+            await asyncio.gather(work, revoked, return_exceptions=True)
+
+    # ---- the stream ---------------------------------------------------------------------------------------
+
+    def _flush(self) -> None:
+        if self.requests.to_send:
+            self.wake.set()
+
+    async def _run(self) -> None:
+        pause, at = REDIAL[0], 0
+        while True:
+            address = self.addresses[at % len(self.addresses)]
+            try:
+                async with grpc.aio.insecure_channel(address) as channel:
+                    welcomed = await self._follow(channel)
+            except grpc.aio.AioRpcError as error:
+                welcomed = False
+                if error.code() in CONNECT_AFTER_BREAK:
+                    self.token = b""
+                elif not self.token:
+                    at += 1
+            except TimeoutError:
+                welcomed = False
+                at += not self.token
+            except asyncio.CancelledError:
+                # gRPC raises it also where only the stream was cancelled.
+                task = asyncio.current_task()
+                if task is not None and task.cancelling():
+                    raise
+                welcomed = False
+            if self.connected.is_set():
+                welcomed = True
+                self.breaks += 1
+            self.connected.clear()
+            if self.closing:
+                return
+            self.requests.broken()
+            if self.going_away and self.token:
+                self.token, self.going_away, at = b"", False, at + 1
+            pause = REDIAL[0] if welcomed else min(REDIAL[1], pause * 2.0)
+            await asyncio.sleep(pause * random.uniform(0.5, 1.0))
+
+    async def _follow(self, channel: Any) -> bool:
+        """One stream, from Hello to its end."""
+        method = channel.stream_stream(
+            METHOD,
+            request_serializer=pb.FrontFrame.SerializeToString,
+            response_deserializer=pb.ProxyFrame.FromString,
+        )
+        self.stream = stream = method()
+        hello = pb.Hello(front=self.front, session=self.token)
+        async with asyncio.timeout(WELCOME_LIMIT):
+            await stream.write(pb.FrontFrame(messages=[pb.FrontMessage(hello=hello)]))
+            frame = await stream.read()
+        if frame is grpc.aio.EOF:
+            await self._end_of(stream)
+            return False
+        self._read(frame)
+        self.connected.set()
+        writing = self.loop.create_task(self._write(stream))
+        try:
+            while True:
+                frame = await stream.read()
+                if frame is grpc.aio.EOF:
+                    await self._end_of(stream)
+                    return True
+                self._read(frame)
+        finally:
+            writing.cancel()
+            stream.cancel()
+
+    async def _end_of(self, stream: Any) -> None:
+        code = await stream.code()
+        if code in CONNECT_AFTER_BREAK:
+            self.token = b""
+
+    async def _write(self, stream: Any) -> None:
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            waiting, self.requests.to_send = self.requests.to_send, []
+            for start in range(0, len(waiting), IN_A_FRAME):
+                part = waiting[start : start + IN_A_FRAME]
+                some = [write_front(message, report) for message, report in part]
+                if self.tap is not None:
+                    for message, _ in part:
+                        self.tap(message)
+                await stream.write(pb.FrontFrame(messages=some))
+            if self.closing:
+                leave = pb.FrontMessage(leave=pb.Leave())
+                await stream.write(pb.FrontFrame(messages=[leave]))
+                await stream.done_writing()
+                return
+
+    def _read(self, frame: pb.ProxyFrame) -> None:
+        now = self.loop.time() * 1000.0
+        for message in frame.messages:
+            kind = message.WhichOneof("kind")
+            if kind == "server":
+                change = message.server
+                if change.state == pb.ServerChange.GONE:
+                    self.servers.pop(change.server, None)
+                else:
+                    self.servers[change.server] = change
+                continue
+            if kind == "go_away":
+                self.going_away = True
+                continue
+            if kind == "welcome":
+                self.token, self.lease = message.welcome.session, float(message.welcome.lease_ms)
+                self.servers.clear()
+            said = read_proxy(message)
+            if said is None:
+                continue
+            if self.tap is not None:
+                self.tap(said)
+            for result in self.requests.handle(said, now):
+                self._pass(result)
+        self._flush()
+
+    def _pass(self, result: Passed | Renumbered) -> None:
+        if isinstance(result, Renumbered):
+            call = self.calls.pop(result.old, None)
+            if call is not None:
+                call.request = result.new
+                self.calls[result.new] = call
+            return
+        call = self.calls.get(result.request)
+        if call is not None:
+            call._heard(result.message)
--- /dev/null
+++ b/martentide/client/state.py
@@ -0,0 +1,245 @@
+"""What a front knows of its own requests: the client's half of ``martentide.decisions.v1``, without I/O.
+
+It passes on each route and each final once, whatever is repeated or crosses on the wire, answers for what
+nobody waits for any more, and says after a break what is lost and what may be asked anew.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from enum import Enum
+
+from martentide.extproc.messages import (
+    Ask,
+    Cancel,
+    Cancelled,
+    Failed,
+    FromFront,
+    Outcome,
+    Over,
+    Refused,
+    Release,
+    Route,
+    Standing,
+    ToFront,
+    Welcomed,
+    Why,
+    Withdrawn,
+)
+from martentide.interface import Ending
+
+NEVER_RAN = (Ending.FULL, Ending.UNREACHABLE, Ending.NOT_SENT)
+
+
+class Phase(Enum):
+    ASKED = "asked"  # no verdict yet
+    ROUTED = "routed"  # an attempt may be out
+    REPORTED = "reported"  # its outcome is said, the next verdict is to come
+    STANDS = "stands"
+
+
+@dataclass(slots=True)
+class Own:
+    """One request of this front that is not closed."""
+
+    ask: Ask
+    phase: Phase = Phase.ASKED
+    attempt: int = -1
+    begun: bool = False
+    outcome: Outcome | None = None
+    report: str = ""
+    may_have_run: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Passed:
+    """For the front's own code: a route, a final, a withdrawal or a release, each once."""
+
+    request: int
+    message: ToFront
+
+
+@dataclass(frozen=True, slots=True)
+class Renumbered:
+    """A question that went down with its stream is asked anew, under another number."""
+
+    old: int
+    new: int
+
+
+Result = Passed | Renumbered
+
+
+class Requests:
+    """All requests of one front. ``to_send`` fills with what is to be written, in order."""
+
+    def __init__(self) -> None:
+        self.own: dict[int, Own] = {}
+        self.last = 0
+        self.to_send: list[tuple[FromFront, str]] = []  # and the server's report as it came
+        self.counts: Counter[str] = Counter()
+        self.connected = False
+
+    # ---- the front's own code -----------------------------------------------------------------------------
+
+    def ask(
+        self, call_class: str, number: str | None, time_left: float | None, first_choice: int, now: float
+    ) -> int:
+        self.last += 1
+        ask = Ask(self.last, call_class, number, time_left, first_choice, now)
+        self.own[self.last] = Own(ask)
+        if self.connected:
+            self.to_send.append((ask, ""))
+        return self.last
+
+    def begin(self, request: int) -> bool:
+        """The first byte of the attempt is about to be sent: False where it must not be any more."""
+        one = self.own.get(request)
+        if one is None or one.phase is not Phase.ROUTED:
+            return False
+        one.begun = True
+        return True
+
+    def report(
+        self,
+        request: int,
+        ending: Ending | None,
+        lag: float,
+        lines_full: bool = False,
+        report: str = "",
+    ) -> Outcome | None:
+        """Say what came of the attempt; None where nothing is to be said any more."""
+        one = self.own.get(request)
+        if one is None or one.phase is not Phase.ROUTED:
+            return None
+        outcome = one.outcome = Outcome(request, one.attempt, ending, lag, lines_full)
+        one.phase, one.report = Phase.REPORTED, report
+        one.may_have_run = one.may_have_run or ending not in NEVER_RAN
+        if self.connected:
+            self.to_send.append((outcome, report))
+        return outcome
+
+    def cancel(self, request: int) -> None:
+        if self.own.pop(request, None) is not None and self.connected:
+            self.to_send.append((Cancel(request), ""))
+
+    def over(self, request: int, cut: bool, report: str = "") -> None:
+        one = self.own.get(request)
+        if one is not None and one.phase is Phase.STANDS:
+            del self.own[request]
+            if self.connected:
+                self.to_send.append((Over(request, cut), report))
+
+    # ---- the proxy ----------------------------------------------------------------------------------------
+
+    def handle(self, message: ToFront, now: float) -> list[Result]:
+        if isinstance(message, Welcomed):
+            return self._welcomed(message, now)
+        request = message.request
+        one = self.own.get(request)
+        if one is None:
+            self._nobody(message)
+            return []
+        match message:
+            case Route():
+                return self._route(one, message)
+            case Withdrawn():
+                return self._withdrawn(one, message)
+            case Standing():
+                if one.phase is not Phase.REPORTED:
+                    self.counts["doubled"] += 1
+                    return []
+                one.phase = Phase.STANDS
+            case Refused() | Failed() | Cancelled():
+                if one.phase is Phase.STANDS:
+                    self.counts["doubled"] += 1
+                    return []
+                del self.own[request]
+            case Release():
+                del self.own[request]
+        return [Passed(request, message)]
+
+    def _route(self, one: Own, route: Route) -> list[Result]:
+        if route.attempt == one.attempt:
+            if one.phase is Phase.REPORTED and one.outcome is not None:
+                self.to_send.append((one.outcome, one.report))  # it went down with the last stream
+            self.counts["repeated_routes"] += 1
+            return []
+        if one.phase in (Phase.ROUTED, Phase.STANDS):
+            # Guards the rule of one attempt at a time against a proxy that forgets it.
+            self.counts["two_out"] += 1
+            return []
+        one.phase, one.attempt, one.begun, one.outcome = Phase.ROUTED, route.attempt, False, None
+        return [Passed(route.request, route)]
+
+    def _withdrawn(self, one: Own, back: Withdrawn) -> list[Result]:
+        if back.attempt != one.attempt:
+            return []
+        if back.if_unused:
+            if one.phase is Phase.ROUTED and not one.begun:
+                self.report(back.request, Ending.NOT_SENT, 0.0)
+                return [Passed(back.request, back)]
+            return []
+        if one.phase in (Phase.ROUTED, Phase.REPORTED):
+            one.phase, one.outcome = Phase.REPORTED, None
+            one.may_have_run = True
+            return [Passed(back.request, back)]
+        if one.phase is Phase.STANDS:
+            del self.own[back.request]
+            return [Passed(back.request, Release(back.request, back.why))]
+        return []
+
+    def _nobody(self, message: ToFront) -> None:
+        """Nobody waits for it: it was cancelled, or had its final."""
+        if isinstance(message, Route):
+            unused = Outcome(message.request, message.attempt, Ending.NOT_SENT, 0.0)
+            self.to_send.append((unused, ""))
+        elif not isinstance(message, Cancelled | Withdrawn):
+            self.counts["unwanted"] += 1
+
+    # ---- breaks -------------------------------------------------------------------------------------------
+
+    def broken(self) -> None:
+        """The stream ended: nothing is sent until the next welcome."""
+        self.connected = False
+        self.to_send.clear()
+
+    def _welcomed(self, welcome: Welcomed, now: float) -> list[Result]:
+        """Go on with what the proxy holds, ask anew what had no verdict, and settle the rest."""
+        self.connected = True
+        standing, results = set(welcome.standing), list[Result]()
+        held = standing.union(welcome.routed)
+        for request in held - self.own.keys():
+            self.to_send.append((Cancel(request), ""))
+        for request, one in list(self.own.items()):
+            if request in held:
+                if one.phase is Phase.REPORTED and request in standing:
+                    one.phase = Phase.STANDS  # its final went down with the last stream
+                    results.append(Passed(request, Standing(request)))
+                continue
+            if one.phase is Phase.STANDS or (one.outcome is not None and one.outcome.ending is None):
+                # It stands between its caller and the server; only the proxy's count of it is lost.
+                del self.own[request]
+                if one.phase is not Phase.STANDS:
+                    results.append(Passed(request, Standing(request)))
+                self.counts["uncounted"] += 1
+                continue
+            del self.own[request]
+            if one.phase is Phase.ASKED:
+                left = one.ask.time_left
+                left = None if left is None else left - (now - one.ask.at)
+                if left is None or left > 0:
+                    ask = one.ask
+                    new = self.ask(ask.call_class, ask.number, left, ask.first_choice, now)
+                    results.append(Renumbered(request, new))
+                else:
+                    results.append(Passed(request, Refused(request, 0.0, Why.DEADLINE)))
+            elif one.phase is Phase.ROUTED and one.begun:
+                results.append(Passed(request, Withdrawn(request, one.attempt, False, Why.LATE)))
+                results.append(Passed(request, Failed(request, Why.LATE)))
+            elif one.may_have_run:
+                results.append(Passed(request, Failed(request, Why.LATE)))
+            else:
+                results.append(Passed(request, Refused(request, 0.0, Why.LATE)))
+        return results
--- a/martentide/extproc/ledger.py
+++ b/martentide/extproc/ledger.py
@@ -41,6 +41,7 @@
     Route,
     Standing,
     ToFront,
+    Welcomed,
     Why,
     Withdrawn,
 )
@@ -82,6 +83,7 @@
     attempt: int
     server: str
     patience: float
+    held: bool = False  # not the first word of the module on the question
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +102,7 @@
 
     key: int
     hold_off: float | None
+    held: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -302,7 +305,7 @@
         if denied is not None:
             self._say(Refused(ask.request, denied.retry_after, denied.why))
             return
-        one = Request(next(self.keys), ask.request, kind, cutoff, now)
+        one = Request(next(self.keys), ask.request, kind, cutoff, min(now, ask.at))
         self.open[one.key] = self.by_request[one.request] = one
         self._wake(one, "cutoff", cutoff)
         number = ask.number or ""
@@ -333,13 +336,22 @@
         self._verdict(one, now)
         self._wake(one, "lease", min(one.lease + self.terms.lease_grace, one.cutoff))
         self.counts["routed"] += 1
-        self._say(self._route(one, place, now))
+        self._say(self._route(one, place, now, order.held))
 
-    def _route(self, one: Request, place: Place, now: float) -> Route:
+    def _route(self, one: Request, place: Place, now: float, held: bool = False) -> Route:
         patience = one.lease - now
         valid = min(self.terms.valid_for, patience, one.routed_at + self.terms.valid_for - now)
-        zone = place.entry.zone
-        return Route(one.request, one.attempt, one.server, place.address, zone, patience, max(0.0, valid))
+        return Route(
+            request=one.request,
+            attempt=one.attempt,
+            server=one.server,
+            address=place.address,
+            zone=place.entry.zone,
+            patience=patience,
+            valid_for=max(0.0, valid),
+            held=held,
+            waited=max(0.0, one.routed_at - one.asked_at),
+        )
 
     def _not_sent(self, order: Carry) -> None:
         self.counts["not_sent"] += 1
@@ -353,10 +365,11 @@
             return  # closed meanwhile, by word of the front or by the clock
         self._verdict(one, now)
         self._close(one)
+        waited = max(0.0, now - one.asked_at)
         if decided.hold_off is None:
-            self._say(Failed(one.request, Why.DECIDED))
+            self._say(Failed(one.request, Why.DECIDED, decided.held, waited))
         else:
-            self._say(Refused(one.request, decided.hold_off, Why.DECIDED))
+            self._say(Refused(one.request, decided.hold_off, Why.DECIDED, decided.held, waited))
 
     def _verdict(self, one: Request, now: float) -> None:
         """The open question is answered."""
@@ -474,7 +487,8 @@
         if one.state is State.STANDS and item.hang_up:
             self._say(Release(one.request, Why.DECIDED))
             self._end_standing(one, Ending.CANCELLED, None)
-        elif one.state is State.ROUTED:
+        elif one.state is State.ROUTED and (item.hang_up or not self.terms.single):
+            # (A front of one attempt could not make another: there the attempt goes on to its own end.)
             self._say(Withdrawn(one.request, one.attempt, False, Why.DECIDED))
             self._attempt_over(one, now, Ending.CANCELLED)
 
@@ -568,6 +582,9 @@
                     self._give_up(one, now, Ending.CUT)
             case Stream.RESUMED:
                 self.connected = True
+                routed = sorted(one.request for one in self.open.values() if one.state is State.ROUTED)
+                stand = sorted(one.request for one in self.open.values() if one.state is State.STANDS)
+                self._say(Welcomed(tuple(routed), tuple(stand)))
                 for one in self.open.values():
                     place = self.places.get(one.server)
                     if one.state is not State.ROUTED or place is None:
--- a/martentide/extproc/messages.py
+++ b/martentide/extproc/messages.py
@@ -90,6 +90,8 @@
     zone: str
     patience: float
     valid_for: float
+    held: bool = False  # the decision module had it wait on purpose
+    waited: float = 0.0  # ms from the question to this
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +101,8 @@
     request: int
     retry_after: float
     why: Why
+    held: bool = False
+    waited: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +111,8 @@
 
     request: int
     why: Why
+    held: bool = False
+    waited: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,5 +148,13 @@
     why: Why
 
 
+@dataclass(frozen=True, slots=True)
+class Welcomed:
+    """First on each stream: the requests that are routed, and that stand; any other is closed."""
+
+    routed: tuple[int, ...]
+    standing: tuple[int, ...]
+
+
 Final = Refused | Failed | Cancelled | Standing
-ToFront = Route | Final | Withdrawn | Release
+ToFront = Route | Final | Withdrawn | Release | Welcomed
--- a/martentide/extproc/sessions.py
+++ b/martentide/extproc/sessions.py
@@ -29,6 +29,7 @@
     ANOTHER_FRONT = "another-front"
     TOO_MANY = "too-many-sessions"
     BAD_NAME = "bad-name"
+    CLOSING = "closing"
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/martentide/extproc/wire.py
@@ -0,0 +1,226 @@
+"""Between the frames of ``martentide.decisions.v1`` and the types of ``messages``; pure."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from martentide.codec import CodecError
+from martentide.codec.figures import read_report
+from martentide.decisions.v1 import decisions_pb2 as pb
+from martentide.extproc.messages import (
+    Ask,
+    Cancel,
+    Cancelled,
+    Failed,
+    FromFront,
+    Outcome,
+    Over,
+    Refused,
+    Release,
+    Route,
+    Standing,
+    ToFront,
+    Welcomed,
+    Why,
+    Withdrawn,
+)
+from martentide.interface import Ending, Report, ServerEntry, ServerState
+
+MOST_TEXT = 256  # characters of a class, number or report
+ENDINGS: dict[int, Ending | None] = {
+    pb.STANDS: None,
+    pb.FULL: Ending.FULL,
+    pb.ERROR: Ending.ERROR,
+    pb.TIMED_OUT: Ending.TIMED_OUT,
+    pb.UNREACHABLE: Ending.UNREACHABLE,
+    pb.CUT: Ending.CUT,
+    pb.CANCELLED: Ending.CANCELLED,
+    pb.NOT_SENT: Ending.NOT_SENT,
+}
+ENDING_NUMBERS = {ending: pb.Ending.Name(number) for number, ending in ENDINGS.items()}
+STATES = {ServerState.OPEN: "OPEN", ServerState.DRAINING: "DRAINING", ServerState.GONE: "GONE"}
+
+
+def read_front(message: pb.FrontMessage, at: float) -> FromFront:
+    """One message of a front, but for Hello; raises CodecError for one that is none of these."""
+    kind = message.WhichOneof("kind")
+    if kind == "ask":
+        ask = message.ask
+        return Ask(
+            request=ask.request,
+            call_class=_text(ask.call_class, "class"),
+            number=_text(ask.number, "number") or None,
+            time_left=float(ask.time_left_ms) if ask.HasField("time_left_ms") else None,
+            first_choice=ask.first_choice if ask.HasField("first_choice") else -1,
+            at=at,
+        )
+    if kind == "outcome":
+        said = message.outcome
+        if said.ending not in ENDINGS:
+            raise CodecError(f"outcome of request {said.request}: ending {said.ending}")
+        return Outcome(
+            request=said.request,
+            attempt=said.attempt,
+            ending=ENDINGS[said.ending],
+            lag=float(said.lag_ms),
+            lines_full=said.lines_full,
+            report=report_or_none(said.report),
+        )
+    if kind == "cancel":
+        return Cancel(message.cancel.request)
+    if kind == "over":
+        return Over(message.over.request, message.over.cut, report_or_none(message.over.report))
+    raise CodecError(f"a message of kind {kind}")
+
+
+def _text(text: str, what: str) -> str:
+    if len(text) > MOST_TEXT:
+        raise CodecError(f"{what}: {len(text)} characters")
+    return text
+
+
+def report_or_none(text: str) -> Report | None:
+    """A server's load report; one that can't be read tells nothing, and the rest of the message stands."""
+    if not text or len(text) > MOST_TEXT:
+        return None
+    try:
+        return read_report(text)
+    except CodecError:
+        return None
+
+
+def write_front(message: FromFront, report: str = "") -> pb.FrontMessage:
+    """One message of a front; ``report`` is the server's report as it came."""
+    match message:
+        case Ask():
+            ask = pb.Ask(request=message.request, call_class=message.call_class, number=message.number or "")
+            if message.time_left is not None:
+                ask.time_left_ms = int(message.time_left)
+            if message.first_choice >= 0:
+                ask.first_choice = message.first_choice
+            return pb.FrontMessage(ask=ask)
+        case Outcome():
+            return pb.FrontMessage(
+                outcome=pb.Outcome(
+                    request=message.request,
+                    attempt=message.attempt,
+                    ending=ENDING_NUMBERS[message.ending],
+                    lag_ms=max(0, round(message.lag)),
+                    lines_full=message.lines_full,
+                    report=report,
+                )
+            )
+        case Cancel():
+            return pb.FrontMessage(cancel=pb.Cancel(request=message.request))
+        case Over():
+            return pb.FrontMessage(over=pb.Over(request=message.request, cut=message.cut, report=report))
+
+
+def write_proxy(message: ToFront) -> pb.ProxyMessage:
+    match message:
+        case Route():
+            return pb.ProxyMessage(
+                route=pb.Route(
+                    request=message.request,
+                    attempt=message.attempt,
+                    server=message.server,
+                    address=message.address,
+                    zone=message.zone,
+                    patience_ms=int(message.patience),
+                    valid_for_ms=int(message.valid_for),
+                    held=message.held,
+                    waited_us=int(message.waited * 1000.0),
+                )
+            )
+        case Refused():
+            return pb.ProxyMessage(
+                refused=pb.Refused(
+                    request=message.request,
+                    retry_after_ms=math.ceil(message.retry_after),
+                    why=message.why.value,
+                    held=message.held,
+                    waited_us=int(message.waited * 1000.0),
+                )
+            )
+        case Failed():
+            return pb.ProxyMessage(
+                failed=pb.Failed(
+                    request=message.request,
+                    why=message.why.value,
+                    held=message.held,
+                    waited_us=int(message.waited * 1000.0),
+                )
+            )
+        case Cancelled():
+            return pb.ProxyMessage(cancelled=pb.Cancelled(request=message.request))
+        case Standing():
+            return pb.ProxyMessage(stands=pb.Stands(request=message.request))
+        case Withdrawn():
+            return pb.ProxyMessage(
+                withdrawn=pb.Withdrawn(
+                    request=message.request,
+                    attempt=message.attempt,
+                    if_unused=message.if_unused,
+                    why=message.why.value,
+                )
+            )
+        case Welcomed():
+            raise TypeError("the session's token goes with a welcome")
+        case Release():
+            return pb.ProxyMessage(release=pb.Release(request=message.request, why=message.why.value))
+
+
+def read_proxy(message: pb.ProxyMessage) -> ToFront | None:
+    """One message to a front; None for a change of the list, a go-away, and kinds yet unknown."""
+    kind = message.WhichOneof("kind")
+    if kind == "route":
+        route = message.route
+        return Route(
+            route.request,
+            route.attempt,
+            route.server,
+            route.address,
+            route.zone,
+            float(route.patience_ms),
+            float(route.valid_for_ms),
+            route.held,
+            route.waited_us / 1000.0,
+        )
+    if kind == "refused":
+        refused = message.refused
+        after = float(refused.retry_after_ms)
+        waited = refused.waited_us / 1000.0
+        return Refused(refused.request, after, _why(refused.why), refused.held, waited)
+    if kind == "failed":
+        failed = message.failed
+        return Failed(failed.request, _why(failed.why), failed.held, failed.waited_us / 1000.0)
+    if kind == "cancelled":
+        return Cancelled(message.cancelled.request)
+    if kind == "stands":
+        return Standing(message.stands.request)
+    if kind == "withdrawn":
+        back = message.withdrawn
+        return Withdrawn(back.request, back.attempt, back.if_unused, _why(back.why))
+    if kind == "release":
+        return Release(message.release.request, _why(message.release.why))
+    if kind == "welcome":
+        return Welcomed(tuple(message.welcome.routed), tuple(message.welcome.standing))
+    return None
+
+
+def _why(text: str) -> Why:
+    """A reason; one that a newer proxy may have counts as the decision's."""
+    try:
+        return Why(text)
+    except ValueError:
+        return Why.DECIDED
+
+
+def write_server(entry: ServerEntry, address: str) -> pb.ProxyMessage:
+    change = pb.ServerChange(server=entry.name, address=address, zone=entry.zone, state=STATES[entry.state])
+    return pb.ProxyMessage(server=change)
+
+
+def frame(messages: Iterable[pb.ProxyMessage]) -> pb.ProxyFrame:
+    return pb.ProxyFrame(messages=messages)
--- a/martentide/net/decider.py
+++ b/martentide/net/decider.py
@@ -189,6 +189,7 @@
         self.mailbox: asyncio.Queue[Item] = asyncio.Queue()
         self.loop = asyncio.get_running_loop()
         self.now = 0.0
+        self.asking: bytes | None = None  # the call whose question the decisions are being asked
         self.refs = itertools.count(1)
         self.calls: dict[int, Call] = {}
         self.by_id: dict[bytes, Call] = {}
@@ -213,6 +214,7 @@
                 # Guards against an error in the decisions: the call it hit is answered, the rest goes on.
                 LOG.exception("internal-error", item=type(item).__name__)
                 self._settle_after_error(item)
+            self.asking = None
             if self.calls:
                 self.idle.clear()
             else:
@@ -335,6 +337,7 @@
         call = self.calls[ref] = self.by_id[offer.call] = Call(offer, ref, timer)
         self.open_calls += 1
         number = offer.number.decode("utf-8", "replace") or None
+        self.asking = offer.call
         self._feed(SetUpOffered(call.ref, name, None, number, left, offer.first_choice, False, False))
 
     def _caller_leaves(self, call_id: bytes) -> None:
@@ -404,6 +407,7 @@
         settled = call.closed
         if settled:
             self.calls.pop(call.ref, None)
+        self.asking = call.offer.call
         self._feed(
             AttemptEnded(
                 ref=item.ref,
--- a/martentide/net/endings.py
+++ b/martentide/net/endings.py
@@ -25,6 +25,8 @@
     SERVER_GONE = "server-gone"
     REPLACED = "replaced"
     MOVED = "moved"
+    TAKEN_OVER = "taken-over"
+    NO_SESSION = "no-session"
     TOO_MANY = "too-many"
     SHUTDOWN = "shutdown"
     IO_ERROR = "io-error"
@@ -34,11 +36,18 @@
     DIAL_ERROR = "dial-error"
 
 
-QUIET = (Reason.PEER_CLOSED, Reason.SERVER_GONE, Reason.REPLACED, Reason.MOVED, Reason.SHUTDOWN)
+QUIET = (
+    Reason.PEER_CLOSED,
+    Reason.SERVER_GONE,
+    Reason.REPLACED,
+    Reason.MOVED,
+    Reason.SHUTDOWN,
+    Reason.TAKEN_OVER,
+)
 
 
 def log_ended(role: str, peer: str, reason: Reason, detail: str = "") -> None:
-    """The one line that an ended connection leaves; ``role`` is caller, server or board."""
+    """The one line that an ended connection leaves; ``role`` is caller, server, board or front."""
     write = LOG.info if reason in QUIET else LOG.warning
     more = {"detail": repr(detail)} if detail else {}
     write("connection-ended", role=role, peer=peer, reason=reason.value, **more)
--- /dev/null
+++ b/martentide/net/extproc/decisions.py
@@ -0,0 +1,288 @@
+"""The service ``martentide.decisions.v1``: a stream carries many requests, and a session outlives it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import Any
+
+import martentide.grpc_engine  # noqa: F401  (before grpc)
+import grpc
+
+from martentide.codec import CodecError
+from martentide.codec.board import Listed
+from martentide.decisions.v1 import decisions_pb2 as pb
+from martentide.extproc.ledger import Ledger, Stream
+from martentide.extproc.messages import FromFront, ToFront, Welcomed
+from martentide.extproc.sessions import Phase, Refusal, Session
+from martentide.extproc.wire import read_front, write_proxy, write_server
+from martentide.net.endings import Reason, log_ended
+from martentide.net.extproc.front import Front
+from martentide.net.extproc.host import Host
+from martentide.net.links import unix_ms
+
+HELLO_LIMIT = 2.0  # s in which a new stream must have said Hello
+IN_A_FRAME = 256  # messages at most: a frame stays within what one read may bring
+STATUS = {
+    Refusal.UNKNOWN_SESSION: grpc.StatusCode.NOT_FOUND,
+    Refusal.ANOTHER_FRONT: grpc.StatusCode.PERMISSION_DENIED,
+    Refusal.TOO_MANY: grpc.StatusCode.RESOURCE_EXHAUSTED,
+    Refusal.CLOSING: grpc.StatusCode.UNAVAILABLE,
+    Refusal.BAD_NAME: grpc.StatusCode.INVALID_ARGUMENT,
+}
+ENDS = {
+    Reason.MALFORMED: grpc.StatusCode.INVALID_ARGUMENT,
+    Reason.BLOCKED: grpc.StatusCode.RESOURCE_EXHAUSTED,
+    Reason.TAKEN_OVER: grpc.StatusCode.ABORTED,
+    Reason.SHUTDOWN: grpc.StatusCode.UNAVAILABLE,
+    Reason.MUTE: grpc.StatusCode.DEADLINE_EXCEEDED,
+}
+
+
+class Wire:
+    """The writing side of one stream: bounded, in order, never waited for by an actor."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.waiting: deque[pb.ProxyMessage] = deque()
+        self.wake = asyncio.Event()
+        self.closed = asyncio.Event()
+        self.reason, self.detail = Reason.PEER_CLOSED, ""
+        self.writing = False
+
+    def put(self, messages: list[pb.ProxyMessage]) -> None:
+        if self.closed.is_set():
+            return
+        if len(self.waiting) + len(messages) > self.most:
+            self.close(Reason.BLOCKED, f"{len(self.waiting)} messages wait")
+            return
+        self.waiting.extend(messages)
+        self.wake.set()
+
+    def close(self, reason: Reason, detail: str = "") -> None:
+        """The first reason counts."""
+        if not self.closed.is_set():
+            self.reason, self.detail = reason, detail
+            self.closed.set()
+
+    async def pump(self, context: Any, limit: float) -> None:
+        """Write until the stream ends; a write that takes longer than ``limit`` s closes it.
+
+        That write itself is waited for: gRPC can't take it back, nor end the stream meanwhile.
+        """
+        loop = asyncio.get_running_loop()
+        while not self.closed.is_set():
+            await self.wake.wait()
+            self.wake.clear()
+            while self.waiting and not self.closed.is_set():
+                some = [self.waiting.popleft() for _ in range(min(IN_A_FRAME, len(self.waiting)))]
+                watch = loop.call_later(limit, self.close, Reason.BLOCKED, "a write was not taken")
+                self.writing = True
+                try:
+                    await context.write(pb.ProxyFrame(messages=some))
+                finally:
+                    self.writing = False
+                    watch.cancel()
+
+
+class Member:
+    """A session with its actor and, while there is one, its stream."""
+
+    def __init__(self, session: Session, host: Host) -> None:
+        self.session, self.host = session, host
+        self.wire: Wire | None = None
+        self.joining: Wire | None = None  # the stream that the next welcome goes out on
+        terms = host.terms(single=False)
+        ledger = Ledger(session.front, terms, host.classes, host.admission, host.keys)
+        self.front = Front(ledger, host.decider, self._deliver, self._trouble)
+        self.spoilt = self.left = False  # the front broke the protocol; it took its leave
+
+    def _deliver(self, said: list[ToFront]) -> None:
+        some: list[pb.ProxyMessage] = []
+        for message in said:
+            if isinstance(message, Welcomed):
+                # What was said before belongs to the old stream, which is over.
+                self.wire, self.joining = self.joining, None
+                some = self._welcome(message)
+            else:
+                some.append(write_proxy(message))
+        if self.wire is not None and some:
+            self.wire.put(some)
+
+    def _welcome(self, message: Welcomed) -> list[pb.ProxyMessage]:
+        lease = int(self.host.sessions.terms.lease)
+        welcome = pb.Welcome(
+            session=self.session.token, lease_ms=lease, routed=message.routed, standing=message.standing
+        )
+        listed = self.host.decider.listed.values()
+        servers = [write_server(one.entry, f"{one.host}:{one.port}") for one in listed]
+        return [pb.ProxyMessage(welcome=welcome), *servers]
+
+    def _trouble(self, detail: str) -> None:
+        """The front broke the protocol: its stream ends, and with it the session."""
+        self.spoilt = True
+        for wire in (self.wire, self.joining):
+            if wire is not None:
+                wire.close(Reason.MALFORMED, detail)
+
+
+class Decisions:
+    """The service; ``members`` are the sessions whose calls are counted."""
+
+    def __init__(self, host: Host) -> None:
+        self.host = host
+        self.members: dict[int, Member] = {}
+
+    # ---- one stream ---------------------------------------------------------------------------------------
+
+    async def decide(self, _: Any, context: Any) -> None:
+        peer = str(context.peer())
+        wire = Wire(self.host.streams.most_unsent)
+        member: Member | None = None
+        stream = 0
+        tasks: list[asyncio.Task[Any]] = []
+        code = grpc.StatusCode.OK
+        try:
+            hello = await self._hello(context, wire)
+            if hello is not None:
+                found = self._enter(hello, wire)
+                if isinstance(found, Refusal):
+                    wire.close(Reason.NO_SESSION, found.value)
+                    code = STATUS[found]
+                else:
+                    member = found
+                    peer = f"{member.session.front}/{member.session.number}"
+                    limit = self.host.streams.blocked_ms / 1000.0
+                    tasks = [
+                        asyncio.create_task(wire.pump(context, limit)),
+                        asyncio.create_task(self._read(context, wire, member)),
+                        asyncio.create_task(wire.closed.wait()),
+                    ]
+                    stream = member.session.stream
+                    done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+                    for task in done:
+                        if task.exception() is not None:  # the stream can't be read or written any more
+                            wire.close(Reason.PEER_RESET)
+            if code is grpc.StatusCode.OK:
+                code = ENDS.get(wire.reason, grpc.StatusCode.OK)
+        except asyncio.CancelledError:
+            wire.close(Reason.PEER_RESET)
+            raise
+        finally:
+            for task in tasks[1 if wire.writing else 0 :]:
+                task.cancel()
+            wire.close(wire.reason)
+            log_ended("front", peer, wire.reason, wire.detail)
+            if member is not None:
+                self._leave(member, stream)
+        if tasks and wire.writing:
+            await asyncio.wait(tasks[:1])
+        if code is not grpc.StatusCode.OK:
+            await context.abort(code, wire.detail or wire.reason.value)
+
+    async def _hello(self, context: Any, wire: Wire) -> pb.Hello | None:
+        try:
+            async with asyncio.timeout(HELLO_LIMIT):
+                frame = await context.read()
+        except TimeoutError:
+            wire.close(Reason.MUTE)
+            return None
+        if frame is grpc.aio.EOF:
+            return None
+        if len(frame.messages) != 1 or frame.messages[0].WhichOneof("kind") != "hello":
+            wire.close(Reason.MALFORMED, "the first message must be Hello, alone in its frame")
+            return None
+        hello: pb.Hello = frame.messages[0].hello
+        return hello
+
+    async def _read(self, context: Any, wire: Wire, member: Member) -> None:
+        while True:
+            frame = await context.read()
+            if frame is grpc.aio.EOF:
+                return  # also what a reset connection looks like: only Leave is a leave
+            at = unix_ms()
+            try:
+                messages = [one for one in frame.messages if one.WhichOneof("kind") != "leave"]
+                member.left = len(messages) < len(frame.messages)
+                events: list[FromFront] = [read_front(message, at) for message in messages]
+            except CodecError as error:
+                wire.close(Reason.MALFORMED, str(error))
+                return
+            if events:
+                await member.front.credit.acquire()
+                member.front.tell(events)
+            if member.left:
+                return
+
+    # ---- sessions -----------------------------------------------------------------------------------------
+
+    def _enter(self, hello: pb.Hello, wire: Wire) -> Member | Refusal:
+        sessions = self.host.sessions
+        if self.host.closing:
+            return Refusal.CLOSING
+        if not hello.session:
+            opened = sessions.open(hello.front)
+            if isinstance(opened, Refusal):
+                return opened
+            member = self.members[opened.number] = Member(opened, self.host)
+            member.joining = wire
+            member.front.stream(Stream.RESUMED)
+            return member
+        resumed = sessions.resume(hello.front, hello.session, unix_ms())
+        if isinstance(resumed, Refusal):
+            return resumed
+        member = self.members[resumed.number]
+        if member.wire is not None:
+            member.wire.close(Reason.TAKEN_OVER)
+            member.front.stream(Stream.BROKEN)  # what was pending on the old stream is asked anew
+        if member.joining is not None:
+            member.joining.close(Reason.TAKEN_OVER)
+        member.joining = wire
+        member.front.stream(Stream.RESUMED)
+        return member
+
+    def _leave(self, member: Member, stream: int) -> None:
+        lease = self.host.sessions.broken(member.session, stream, unix_ms())
+        if lease is None:
+            return  # another stream speaks for the session
+        member.front.stream(Stream.BROKEN)
+        if member.spoilt or member.left or self.host.closing:
+            self._expire(member, stream)
+        else:
+            delay = max(0.0, lease - unix_ms()) / 1000.0
+            self.host.loop.call_later(delay, self._expire, member, stream)
+
+    def _expire(self, member: Member, stream: int) -> None:
+        if not self.host.sessions.expire(member.session, stream):
+            return
+        member.front.stream(Stream.EXPIRED)
+        member.front.end()
+        member.front.task.add_done_callback(lambda _: self._forget(member))
+
+    def _forget(self, member: Member) -> None:
+        self.members.pop(member.session.number, None)
+        self.host.sessions.forget(member.session)
+
+    # ---- the whole service --------------------------------------------------------------------------------
+
+    def list_changed(self, listed: tuple[Listed, ...]) -> None:
+        said = [write_server(one.entry, f"{one.host}:{one.port}") for one in listed]
+        for member in self.members.values():
+            if member.wire is not None:
+                member.wire.put(said)
+
+    def fronts(self) -> list[Front]:
+        return [member.front for member in self.members.values()]
+
+    def go_away(self) -> None:
+        for member in self.members.values():
+            if member.wire is not None:
+                member.wire.put([pb.ProxyMessage(go_away=pb.GoAway(why="closing"))])
+
+    def close(self) -> None:
+        for member in self.members.values():
+            if member.wire is not None:
+                member.wire.close(Reason.SHUTDOWN)
+
+    def connected(self) -> int:
+        return sum(member.session.phase is Phase.CONNECTED for member in self.members.values())
--- /dev/null
+++ b/martentide/net/extproc/front.py
@@ -0,0 +1,196 @@
+"""The actor of one front: its ledger, its timers, and its side of the decider's mailbox.
+
+The decider sees a Caller and a Carrier in one. What the ledger wants said goes to ``deliver`` in batches, in
+its order; whoever carries the stream passes it on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable, Sequence
+
+from martentide.codec.board import Listed
+from martentide.extproc.ledger import (
+    AttemptOver,
+    AttemptStands,
+    Carry,
+    Decided,
+    Due,
+    Effect,
+    Event,
+    FrontError,
+    Ledger,
+    Left,
+    ListChanged,
+    Offered,
+    Place,
+    Say,
+    Stream,
+    TakeBack,
+    Unwake,
+    Wake,
+)
+from martentide.extproc.messages import ToFront
+from martentide.net.decider import Decider, Ended, GiveUp, Offer, Order, Stood, Withdraw
+from martentide.net.endings import LOG
+from martentide.net.links import unix_ms
+
+UNREAD = 16  # frames of one stream that wait in the mailbox at most; then the stream is read no further
+AT_A_TIME = 256  # events taken before the rest of the program has its turn
+
+Deliver = Callable[[list[ToFront]], None]
+
+
+def places(listed: Iterable[Listed]) -> ListChanged:
+    return ListChanged(tuple(Place(one.entry, f"{one.host}:{one.port}") for one in listed))
+
+
+def call_id(key: int) -> bytes:
+    """Nine bytes, so that it is no id of the platform's callers, who have eight."""
+    return b"x" + key.to_bytes(8, "big")
+
+
+class Front:
+    """``trouble`` is told when the front breaks the protocol; its stream has to end then."""
+
+    def __init__(
+        self, ledger: Ledger, decider: Decider, deliver: Deliver, trouble: Callable[[str], None]
+    ) -> None:
+        self.ledger, self.decider, self.deliver, self.trouble = ledger, decider, deliver, trouble
+        self.loop = asyncio.get_running_loop()
+        self.mailbox: asyncio.Queue[Event | Sequence[Event]] = asyncio.Queue()
+        self.timers: dict[tuple[int, str], asyncio.TimerHandle] = {}
+        self.credit = asyncio.Semaphore(UNREAD)
+        self.now = 0.0
+        self.ended = False
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self.tell(places(decider.listed.values()))
+        self.task = self.loop.create_task(self._run(), name=f"front {ledger.front}")
+
+    def tell(self, item: Event | Sequence[Event]) -> None:
+        """Into the mailbox; a sequence is one frame of a stream, whose reader holds a credit for it."""
+        self.mailbox.put_nowait(item)
+
+    def end(self) -> None:
+        """The actor ends once its ledger is empty."""
+        self.ended = True
+        self.tell(())
+
+    async def _run(self) -> None:
+        while not (self.ended and self.mailbox.empty() and not self.ledger.open):
+            said: list[ToFront] = []
+            item = await self.mailbox.get()
+            for _ in range(AT_A_TIME):
+                if isinstance(item, tuple | list):
+                    for event in item:
+                        self._take(event, said)
+                    if item:
+                        self.credit.release()
+                else:
+                    self._take(item, said)  # type: ignore[arg-type]
+                if self.mailbox.empty():
+                    break
+                item = self.mailbox.get_nowait()
+            if said:
+                self.deliver(said)
+            if self.ledger.open:
+                self.idle.clear()
+            else:
+                self.idle.set()
+            if not self.mailbox.empty():
+                await asyncio.sleep(0)  # a flood here must leave the rest of the program its turn
+        for timer in self.timers.values():
+            timer.cancel()
+
+    def _take(self, event: Event, said: list[ToFront]) -> None:
+        self.now = max(self.now, unix_ms())
+        try:
+            effects: Sequence[Effect] = self.ledger.handle(self.now, event)
+        except FrontError as error:
+            effects = self.ledger.effects
+            self.trouble(str(error))
+        except Exception:
+            # Guards against a fault here: what the ledger had asked for is done, and timers end the rest.
+            LOG.exception("internal-error", front=self.ledger.front, item=type(event).__name__)
+            effects = self.ledger.effects
+        for effect in effects:
+            self._do(effect, said)
+
+    def _do(self, effect: Effect, said: list[ToFront]) -> None:
+        match effect:
+            case Say(message):
+                said.append(message)
+            case Wake(key, kind, at):
+                old = self.timers.get((key, kind))
+                if old is not None:
+                    old.cancel()
+                delay = max(0.0, at - self.now) / 1000.0
+                self.timers[key, kind] = self.loop.call_later(delay, self._due, key, kind)
+            case Unwake(key, kind):
+                timer = self.timers.pop((key, kind), None)
+                if timer is not None:
+                    timer.cancel()
+            case Offered():
+                self.decider.post(
+                    Offer(
+                        caller=self,
+                        call=call_id(effect.key),
+                        call_class=effect.call_class.encode("utf-8"),
+                        number=effect.number.encode("utf-8", "replace"),
+                        description=b"",
+                        time_left=effect.time_left,
+                        first_choice=effect.first_choice,
+                        at=effect.at,
+                        carrier=self,
+                    )
+                )
+            case Left(key):
+                self.decider.post(GiveUp(call_id(key)))
+            case AttemptStands(ref, attempt, server, lag):
+                self.decider.post(Stood(ref, attempt, server, lag, b""))
+            case AttemptOver():
+                self.decider.post(
+                    Ended(
+                        effect.ref,
+                        effect.attempt,
+                        effect.server,
+                        effect.ending,
+                        effect.lines_full,
+                        effect.lag,
+                        effect.report,
+                    )
+                )
+
+    def _due(self, key: int, kind: str) -> None:
+        self.timers.pop((key, kind), None)
+        self.tell(Due(key, kind))
+
+    # ---- what the decider says: Caller and Carrier --------------------------------------------------------
+
+    def answer(self, call: bytes, description: bytes) -> None:
+        """The front has said itself that the call stands."""
+
+    def refuse(self, call: bytes, hold_off: float) -> None:
+        self.tell(Decided(int.from_bytes(call[1:], "big"), hold_off, self._held(call)))
+
+    def fail(self, call: bytes) -> None:
+        self.tell(Decided(int.from_bytes(call[1:], "big"), None, self._held(call)))
+
+    def release(self, call: bytes, cut: bool) -> None:
+        """The ledger has ended it itself."""
+
+    def post(self, item: Order | Withdraw) -> None:
+        key = int.from_bytes(item.call[1:], "big")
+        if isinstance(item, Order):
+            held = self._held(item.call)
+            self.tell(Carry(key, item.ref, item.attempt, item.server, item.patience, held))
+        else:
+            self.tell(TakeBack(key, item.ref, item.attempt, item.hang_up))
+
+    def _held(self, call: bytes) -> bool:
+        """Whether the decider answers later than in the event that put the question."""
+        return self.decider.asking != call
+
+    def stream(self, event: Stream) -> None:
+        self.tell(event)
--- /dev/null
+++ b/martentide/net/extproc/host.py
@@ -0,0 +1,41 @@
+"""What the services share: the decider, the limits, the sessions and the operator's terms in force."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import os
+
+from martentide.extproc.ledger import Terms
+from martentide.extproc.limits import Admission
+from martentide.extproc.sessions import Sessions
+from martentide.interface import Settings
+from martentide.net.decider import Decider
+from martentide.operator import ExternalProcessor, StreamsNode
+
+
+class Host:
+    """One for the program."""
+
+    def __init__(self, part: ExternalProcessor, settings: Settings, decider: Decider, seed: int) -> None:
+        self.part, self.settings, self.decider = part, settings, decider
+        self.loop = asyncio.get_running_loop()
+        self.classes = {kind.name: kind for kind in settings.classes}
+        top = max((kind.worth for kind in settings.classes), default=1.0)
+        self.admission = Admission(part.limits_terms(), top, seed)
+        self.sessions = Sessions(part.session_terms(), os.urandom)
+        self.keys = itertools.count(1)
+        self.closing = False
+
+    @property
+    def streams(self) -> StreamsNode:
+        return self.part.streams
+
+    def terms(self, single: bool) -> Terms:
+        return self.part.ledger_terms(self.settings, single)
+
+    def change(self, part: ExternalProcessor) -> None:
+        """New figures hold for what comes from now on."""
+        self.part = part
+        self.admission.change(part.limits_terms())
+        self.sessions.terms = part.session_terms()
--- /dev/null
+++ b/martentide/net/extproc/server.py
@@ -0,0 +1,124 @@
+"""The gRPC server of the external processor: both services on one listener, from its start to its end."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import sys
+from typing import Any
+
+import martentide.grpc_engine  # noqa: F401  (before grpc)
+import grpc
+from envoy.service.ext_proc.v3 import external_processor_pb2 as ep
+
+from martentide.codec.board import Listed
+from martentide.decisions.v1 import decisions_pb2 as pb
+from martentide.extproc.ledger import Stream
+from martentide.interface import Settings
+from martentide.net.decider import Decider
+from martentide.net.endings import log_event
+from martentide.net.extproc.decisions import Decisions
+from martentide.net.extproc.envoy import ExternalProcessor as Envoy
+from martentide.net.extproc.front import Front, places
+from martentide.net.extproc.host import Host
+from martentide.operator import ExternalProcessor
+
+DECISIONS = "martentide.decisions.v1.Decisions"
+EXT_PROC = "envoy.service.ext_proc.v3.ExternalProcessor"
+KEEPALIVE = 10_000  # ms without a word on a connection until it is tested
+KEEPALIVE_LIMIT = 5_000  # ms for that test
+SWITCH = 0.0002  # s, in place of 5 ms
+FLUSH = 0.5  # s for last verdicts to leave
+FIXED = ("listen", "services", "own_links", "streams")  # these wait for a restart
+
+
+class ExternalProcessorServer:
+    """Built where the operator's file turns the mode on; nothing of it is imported otherwise."""
+
+    def __init__(self, part: ExternalProcessor, settings: Settings, decider: Decider, seed: int) -> None:
+        self.part = part
+        self.host = Host(part, settings, decider, seed)
+        self.decisions, self.envoy = Decisions(self.host), Envoy(self.host)
+        self.port = 0
+        decider.watchers.append(self._list_changed)
+        options = (
+            ("grpc.max_receive_message_length", part.streams.most_message_bytes),
+            ("grpc.max_concurrent_streams", part.streams.most_streams),
+            ("grpc.keepalive_time_ms", KEEPALIVE),
+            ("grpc.keepalive_timeout_ms", KEEPALIVE_LIMIT),
+            ("grpc.http2.min_recv_ping_interval_without_data_ms", 1_000),
+            ("grpc.so_reuseport", 0),
+        )
+        self.server = grpc.aio.server(options=options)
+        handlers: list[Any] = []
+        if "decisions" in part.services:
+            decide = grpc.stream_stream_rpc_method_handler(
+                self.decisions.decide,
+                request_deserializer=pb.FrontFrame.FromString,
+                response_serializer=pb.ProxyFrame.SerializeToString,
+            )
+            handlers.append(grpc.method_handlers_generic_handler(DECISIONS, {"Decide": decide}))
+        if "ext-proc" in part.services:
+            process = grpc.stream_stream_rpc_method_handler(
+                self.envoy.process,
+                request_deserializer=ep.ProcessingRequest.FromString,
+                response_serializer=ep.ProcessingResponse.SerializeToString,
+            )
+            handlers.append(grpc.method_handlers_generic_handler(EXT_PROC, {"Process": process}))
+        self.server.add_generic_rpc_handlers(tuple(handlers))
+
+    async def start(self) -> None:
+        """Listen; raises OSError where the address can't be used."""
+        try:
+            self.port = self.server.add_insecure_port(self.part.listen)
+        except RuntimeError as error:
+            raise OSError(f"external processor on {self.part.listen}: {error}") from None
+        await self.server.start()
+        # What is loaded by now stays: looked through again and again by the collector, it costs pauses of
+        # some milliseconds each, which decisions would wait for.
+        gc.collect()
+        gc.freeze()
+        # gRPC hears of its sockets in a thread of its own, which waits this long for its turn.
+        sys.setswitchinterval(SWITCH)
+        host = self.part.listen.rpartition(":")[0]
+        log_event("external-processor", address=f"{host}:{self.port}", services=",".join(self.part.services))
+
+    def fronts(self) -> list[Front]:
+        return [*self.decisions.fronts(), *self.envoy.fronts()]
+
+    def _list_changed(self, listed: tuple[Listed, ...]) -> None:
+        event = places(listed)
+        for front in self.fronts():
+            front.tell(event)
+        self.decisions.list_changed(listed)
+
+    def change(self, part: ExternalProcessor) -> list[str]:
+        """New figures from the operator's file; returns what waits for a restart."""
+        kept = [name for name in FIXED if getattr(part, name) != getattr(self.part, name)]
+        self.host.change(part)
+        for member in self.decisions.members.values():
+            member.front.ledger.terms = self.host.terms(single=False)
+        for peer in self.envoy.peers.values():
+            peer.front.ledger.terms = self.host.terms(single=True)
+        return kept
+
+    def closing(self) -> None:
+        """New questions are refused from now on; open ones get their verdicts."""
+        self.host.closing = True
+        self.decisions.go_away()
+        for front in self.fronts():
+            front.stream(Stream.CLOSING)
+
+    async def stop(self) -> None:
+        """All is answered: let the last words leave, then end the streams."""
+        try:
+            async with asyncio.timeout(FLUSH):
+                for front in self.fronts():
+                    await front.idle.wait()
+                while any(m.wire is not None and m.wire.waiting for m in self.decisions.members.values()):
+                    await asyncio.sleep(0.005)
+        except TimeoutError:
+            log_event("external-processor-unflushed", fronts=len(self.fronts()))
+        self.decisions.close()
+        self.envoy.close()
+        await self.server.stop(FLUSH)
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -6,17 +6,21 @@
 import dataclasses
 import signal
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from martentide.codec.board import Listed, Notice
-from martentide.interface import ListKind, ServerState
+from martentide.interface import Ending, ListKind, ProbeEnded, ServerState
 from martentide.net.board import Board, Moved
 from martentide.net.callers import Callers
 from martentide.net.config import Config, ConfigError
-from martentide.net.decider import Decider, ServerActor
+from martentide.net.decider import Decider, Ended, Order, Probing, ServerActor, Withdraw
 from martentide.net.endings import LOG, log_event
 from martentide.net.servers import Server
 from martentide.rules import Controller
 
+if TYPE_CHECKING:
+    from martentide.net.extproc.server import ExternalProcessorServer
+
 CALLERS_SHARE = 0.5  # of the descriptors: callers hold a third at most, old connections may overlap new ones
 LATE_ARRIVALS = 0.9  # s after SIGTERM in which set-ups still come
 
@@ -33,7 +37,27 @@
     return Notice(max((notice.number for notice in notices), default=0), True, present)
 
 
-def reload(config: Config, read: Callable[[], Config], board: Board) -> Config:
+class Unlinked:
+    """Stands for a server that the program does not dial: fronts carry what goes there."""
+
+    def __init__(self, listed: Listed, decider: Decider) -> None:
+        self.listed, self.decider = listed, decider
+
+    def post(self, item: Order | Withdraw | Probing | Listed) -> None:
+        if isinstance(item, Probing):
+            name = self.listed.entry.name
+            self.decider.post(ProbeEnded(name, Ending.UNREACHABLE, False, 0.0, None))
+        elif isinstance(item, Order):
+            end = Ended(item.ref, item.attempt, item.server, Ending.UNREACHABLE, False, 0.0, None)
+            self.decider.post(end)
+
+
+def reload(
+    config: Config,
+    read: Callable[[], Config],
+    board: Board,
+    processor: ExternalProcessorServer | None = None,
+) -> Config:
     """SIGHUP: the configuration that holds from now on; a bad file changes nothing."""
     try:
         new = read()
@@ -43,6 +67,11 @@
     # What an instance is born with (name, address, seed, settings) is the same until its next start.
     fixed = ("name", "listen", "settings", "zones")
     kept = [key for key in fixed if getattr(new, key) != getattr(config, key)]
+    part = new.operator.external_processor if new.operator is not None else None
+    if processor is not None and part is not None:
+        kept += [f"external-processor.{name}" for name in processor.change(part)]
+    elif (processor is None) != (part is None):
+        kept.append("external-processor")
     log_event("reloaded", board=new.board, restart_needed_for=",".join(kept) or "nothing")
     if new.board != config.board:
         board.post(Moved(new.board))
@@ -58,33 +87,51 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
 
+    part = config.operator.external_processor if config.operator is not None else None
+    dials = part is None or part.own_links
+    settings = config.settings if dials else dataclasses.replace(config.settings, may_probe=False)
+
     def start_server(listed: Listed, decider: Decider) -> ServerActor:
+        if not dials:
+            return Unlinked(listed, decider)
         return Server(listed, config.connect_timeout, decider.post)
 
-    decider = Decider(Controller(config.settings, config.seed), start_server, config.max_open)
+    decider = Decider(Controller(settings, config.seed), start_server, config.max_open)
     decider.follow(fold(config.known), ListKind.REMEMBERED)
     board = Board(config.board, config.known_number, config.zones, config.connect_timeout, decider.post)
     callers = Callers(int(config.sockets * CALLERS_SHARE), decider.post)
 
+    processor: ExternalProcessorServer | None = None
+    if part is not None:
+        from martentide.net.extproc.server import ExternalProcessorServer  # its libraries come with it
+
+        processor = ExternalProcessorServer(part, settings, decider, config.seed)
+
     def hang_up() -> None:
         nonlocal config
-        config = reload(config, read, board)
+        config = reload(config, read, board, processor)
 
     loop.add_signal_handler(signal.SIGHUP, hang_up)
     tasks = [
         asyncio.create_task(decider.run(), name="decider"),
         asyncio.create_task(board.run(), name="list"),
     ]
+    if processor is not None:
+        await processor.start()
     await callers.listen(config.listen)
     for host, port in callers.addresses():
         log_event("serving", name=config.name, address=f"{host}:{port}", servers=len(decider.servers))
     await stop.wait()
     log_event("stopping", calls=len(decider.calls))
+    if processor is not None:
+        processor.closing()  # fronts are told on their streams, and need no time to learn of it
     # Callers do not know yet: what still comes on new and open connections is served like any other call.
     await asyncio.sleep(LATE_ARRIVALS)
     callers.close()
     decider.closing = True
     await decider.idle.wait()
+    if processor is not None:
+        await processor.stop()
     await asyncio.sleep(0.05)  # the last answers leave the parties' mailboxes
     log_event("stopped")
     for task in tasks:
--- /dev/null
+++ b/martentide_lab/checker.py
@@ -0,0 +1,141 @@
+"""Checks the rules of the external processor on what went over the wire and what came to the servers.
+
+It keeps no state of the product's: it reads what a front sent and was told (``Client``'s tap) and what the
+stand-in servers saw, and counts what must not be.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from martentide.extproc.messages import (
+    Ask,
+    Cancel,
+    Cancelled,
+    Failed,
+    FromFront,
+    Outcome,
+    Refused,
+    Route,
+    Standing,
+    ToFront,
+    Welcomed,
+    Withdrawn,
+)
+from martentide_lab.servers import SessionServer
+
+DRAIN_GRACE = 2_050.0  # ms, with what sockets take
+RELEASE_WAIT = 200.0  # ms
+
+
+@dataclass(slots=True)
+class Story:
+    """All that was said of one request, in order."""
+
+    asked: float
+    left: float | None
+    finals: int = 0
+    attempts: set[int] = field(default_factory=set)
+    out: int | None = None
+    cancelled: bool = False
+    lost: bool = False  # its stream broke before the final: the front asked anew or settled it
+    told: list[str] = field(default_factory=list)
+
+
+class Checker:
+    """One for each front: its requests' numbers are its own."""
+
+    def __init__(self) -> None:
+        self.stories: dict[int, Story] = {}
+        self.counts: Counter[str] = Counter()
+        self.broken_rules: list[str] = []
+
+    def tap(self, message: FromFront | ToFront, now: float) -> None:
+        if isinstance(message, Welcomed):
+            for request, story in self.stories.items():
+                if request in message.standing:
+                    story.finals = 1  # said again: the first may have been lost
+                elif not story.finals and request not in message.routed:
+                    story.lost = True
+            return
+        if isinstance(message, Ask):
+            self.stories[message.request] = Story(now, message.time_left)
+            return
+        known = self.stories.get(message.request)
+        if known is None:
+            self._broken("unasked", message.request, "a message about a request that was never asked")
+            return
+        known.told.append(f"{now:.1f} {message}")
+        if isinstance(message, Route):
+            self._route(known, message)
+        else:
+            self._other(known, message, now)
+
+    def _route(self, story: Story, route: Route) -> None:
+        if story.finals:
+            self._broken("doubled", route.request, "a route behind the final")
+        if route.attempt in story.attempts:
+            return  # said once more after a break
+        if story.out is not None and not story.cancelled:
+            self._broken("two_out", route.request, "a second attempt while one is out")
+        story.attempts.add(route.attempt)
+        story.out = route.attempt
+
+    def _other(self, story: Story, message: FromFront | ToFront, now: float) -> None:
+        match message:
+            case Cancel():
+                story.cancelled, story.out = True, None
+            case Outcome():
+                story.out = None
+            case Withdrawn():
+                if not message.if_unused and story.out == message.attempt:
+                    story.out = None
+            case Refused() | Failed() | Cancelled() | Standing():
+                story.finals += 1
+                if story.finals > 1:
+                    self._broken("doubled", message.request, "a second final")
+                if story.left is not None and now > story.asked + story.left and not story.cancelled:
+                    self._broken("late", message.request, f"a final {now - story.asked:.1f} ms after the ask")
+
+    def _broken(self, rule: str, request: int, what: str) -> None:
+        self.counts[rule] += 1
+        told = self.stories[request].told if request in self.stories else []
+        self.broken_rules.append(f"{rule}: request {request}: {what}: " + " | ".join(told))
+
+    def finish(self) -> Counter[str]:
+        """At the end, when all is answered: each request has its final, or its stream broke before."""
+        for request, story in self.stories.items():
+            if not story.finals and not story.lost:
+                self._broken("missing", request, "no final")
+        return self.counts
+
+
+def check_servers(
+    servers: Iterable[SessionServer], drained: dict[str, float]
+) -> tuple[Counter[str], list[str]]:
+    """What the servers saw: no set-up after a drain's grace, and no two of one request at a time.
+
+    ``drained``: when the board told of a server's drain, Unix ms, by name. Set-ups of one request bear the
+    same number.
+    """
+    counts: Counter[str] = Counter()
+    stories: list[str] = []
+    by_number: dict[bytes, list[tuple[float, float, bool]]] = {}
+    for server in servers:
+        told = drained.get(server.name)
+        for one in server.arrivals:
+            if told is not None and one.at > told + DRAIN_GRACE:
+                counts["wrong_server"] += 1
+                stories.append(f"wrong_server: {server.name} drains since {one.at - told:.0f} ms")
+            over = float("inf") if one.over is None else one.over
+            by_number.setdefault(one.number, []).append((one.at, over, one.stood))
+    for number, spans in by_number.items():
+        spans.sort()
+        for (_, over, _), (begun, _, _) in itertools.pairwise(spans):
+            if begun < over:
+                counts["two_out"] += 1
+                stories.append(f"two_out: number {number!r}: an attempt {over - begun:.1f} ms too early")
+    return counts, stories
--- /dev/null
+++ b/martentide_lab/proxy.py
@@ -0,0 +1,156 @@
+"""Starts the real program as a process of its own, with a board and servers of the stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import psutil
+
+from martentide_lab.servers import Board, SessionServer
+
+ROOT = Path(__file__).parent.parent
+START_LIMIT = 20.0  # s
+CLASSES = (("status-check", 1.0, 1500.0, 9000.0), ("qualified-sign", 6.0, 1000.0, 6000.0),
+           ("envelope-prep", 2.0, 1200.0, 9000.0))  # fmt: skip
+
+
+def site_settings(servers: int, **limits: Any) -> dict[str, Any]:
+    """The settings object of a small site: three classes, pools that any class may go to."""
+    return {
+        "n_instances": 1,
+        "slot_no": 0,
+        "classes": [
+            {
+                "name": name, "worth": worth, "aim_ms": aim, "deadline_ms": deadline, "late_share": 0.2,
+                "repeat": "read_like",
+            }
+            for name, worth, aim, deadline in CLASSES
+        ],
+        "extra": {
+            "layout": "groups", "own_number": -1, "release_ms": 200.0, "t1_ms": 800.0,
+            "pools_by_class": [list(range(max(servers, 64))) for _ in CLASSES],
+        },
+        "feedback": {"fields": ["spare", "total", "cut_by"], "how": "answers"},
+        "limits": {
+            "connect_timeout_ms": 500.0, "max_attempts": 5, "max_open": 20_000, "max_retry_after_ms": 2000.0,
+            "may_cancel": True, "peers": False, "probes": True, "retry_after": True, **limits,
+        },
+        "membership_mode": "automatic",
+        "over_share_worth": 0.1,
+        "parties": [],
+        "rules": {
+            "answer_slack_ms": 20.0, "cold_ms": 13000.0, "cold_share": 0.31, "fall_multiple": 2.0,
+            "fall_ms": 3000.0,
+        },
+        "zones": ["sofia", "plovdiv", "varna"],
+    }  # fmt: skip
+
+
+def endpoint(server: SessionServer) -> dict[str, Any]:
+    return {
+        "name": server.name, "address": server.address, "zone": "sofia", "type": "std",
+        "group": server.number, "status": "SERVING", "weight": 1, "since_ms": 0,
+    }  # fmt: skip
+
+
+class Proxy:
+    """One running program. ``log`` holds its lines; ``address`` is the external processor's."""
+
+    def __init__(self, board: Board, servers: Sequence[SessionServer], operator: str | None) -> None:
+        self.board, self.servers, self.operator = board, servers, operator
+        self.folder = Path(tempfile.mkdtemp(prefix="martentide-"))
+        self.process: asyncio.subprocess.Process | None = None
+        self.log: list[str] = []
+        self.heard = asyncio.Event()
+        self.address = self.callers = ""
+        self.reader: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Proxy:
+        await self.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.kill()
+
+    def write(self, operator: str | None) -> None:
+        if operator is not None:
+            (self.folder / "operator.kdl").write_text(operator)
+
+    async def start(self) -> None:
+        known = [endpoint(server) for server in self.servers]
+        config = {
+            "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "board": self.board.address,
+            "known": {"rev": 1, "notices": [
+                {"rev": 1, "pool": {"index": 1, "snapshot": True, "endpoints": known}}]},
+            "settings": site_settings(len(self.servers)),
+        }  # fmt: skip
+        (self.folder / "config.json").write_text(json.dumps(config))
+        self.write(self.operator)
+        command = [sys.executable, "-B", "-m", "martentide", "serve"]
+        command += ["--config", str(self.folder / "config.json")]
+        if self.operator is not None:
+            command += ["--operator", str(self.folder / "operator.kdl")]
+        environment = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
+        self.process = await asyncio.create_subprocess_exec(
+            *command, cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE, limit=1024 * 1024
+        )
+        self.reader = asyncio.create_task(self._read())
+        line = await self.logged("serving ")
+        self.callers = line.split("address=")[1].split()[0]
+        if self.operator is not None:
+            self.address = (await self.logged("external-processor ")).split("address=")[1].split()[0]
+
+    async def _read(self) -> None:
+        assert self.process is not None and self.process.stderr is not None
+        async for line in self.process.stderr:
+            self.log.append(line.decode("utf-8", "replace").rstrip())
+            self.heard.set()
+
+    async def logged(self, part: str, after: int = 0) -> str:
+        """The first log line from the ``after``-th on that holds the part."""
+        async with asyncio.timeout(START_LIMIT):
+            while True:
+                self.heard.clear()
+                for line in self.log[after:]:
+                    if part in line:
+                        return line
+                if self.process is not None and self.process.returncode is not None:
+                    raise RuntimeError("the program ended: " + " | ".join(self.log[-20:]))
+                await self.heard.wait()
+
+    def send(self, number: signal.Signals) -> None:
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    async def ended(self) -> int:
+        assert self.process is not None
+        async with asyncio.timeout(START_LIMIT):
+            return await self.process.wait()
+
+    async def kill(self) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        if self.reader is not None:
+            self.reader.cancel()
+
+    def resident(self) -> float:
+        """MB."""
+        assert self.process is not None
+        return float(psutil.Process(self.process.pid).memory_info().rss) / 1e6
+
+    def cpu(self) -> float:
+        """Seconds of processor time used so far."""
+        assert self.process is not None
+        times = psutil.Process(self.process.pid).cpu_times()
+        return float(times.user + times.system)
--- /dev/null
+++ b/martentide_lab/servers.py
@@ -0,0 +1,224 @@
+"""Stand-in session servers and notice board, as ``PROTOCOL-martentide.md`` has them, scripted, on loopback.
+
+A server remembers what came to it, so that a test can look for set-ups that should not have come.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from martentide.codec.board import FRAME, LENGTH, RECORD
+from martentide.codec.messages import (
+    Cause,
+    Code,
+    Message,
+    Type,
+    read_message,
+    split,
+    write_message,
+    write_release,
+)
+
+READY, DRAINING, GONE = 0, 1, 2
+
+
+def unix_ms() -> float:
+    return time.time() * 1000.0
+
+
+@dataclass(slots=True)
+class Arrival:
+    """One set-up as it came, and when it was over (answered, refused, given up) at the server."""
+
+    call: bytes
+    number: bytes
+    at: float
+    over: float | None = None
+    stood: bool = False
+
+
+@dataclass
+class Script:
+    """How a server behaves from now on; times in ms."""
+
+    delay: float = 5.0  # until a set-up is answered
+    hold_back: float = 0.0  # in its reports
+    refuse: bool = False  # full
+    error: bool = False
+    cut: bool = False  # resets set-ups
+    mute: bool = False  # answers nothing
+
+
+@dataclass
+class SessionServer:
+    """One server; ``stall`` holds back all it says for a while, as a processor that stands still does."""
+
+    number: int
+    script: Script = field(default_factory=Script)
+    arrivals: list[Arrival] = field(default_factory=list)
+    keep_arrivals: bool = True
+
+    def __post_init__(self) -> None:
+        self.server: asyncio.Server | None = None
+        self.port = 0
+        self.stalled_until = 0.0
+        self.open: dict[bytes, Arrival] = {}
+        self.standing: dict[bytes, asyncio.StreamWriter] = {}
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def name(self) -> str:
+        return f"s-{self.number:08x}"
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self, reset: bool = False) -> None:
+        """Stop listening and end all connections; ``reset``: as the death of a process does."""
+        if self.server is not None:
+            self.server.close()
+        for writer in tuple(self.writers):
+            if reset:
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+            writer.transport.abort()
+        for task in tuple(self.tasks):
+            task.cancel()
+        self.open.clear()
+        self.standing.clear()
+
+    def stall(self, span: float) -> None:
+        self.stalled_until = max(self.stalled_until, unix_ms() + span)
+
+    def report(self) -> bytes:
+        free = 500 - len(self.standing)
+        return f"x0:{free};x1:500;eps:{self.script.hold_back:g}".encode("ascii")
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        writer.write(write_message(Type.GROUP_STATE, bytes(8), {Code.REPORT: self.report()}))
+        begun = bytearray()
+        try:
+            while data := await reader.read(65536):
+                begun += data
+                for body in split(begun):
+                    self._take(read_message(body), writer)
+        except (OSError, asyncio.CancelledError):
+            pass  # also at the loop's end: a stand-in has nothing to settle
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def _take(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        if message.type == Type.SET_UP:
+            arrival = Arrival(message.call, message.parameters.get(Code.NUMBER, b""), unix_ms())
+            if self.keep_arrivals:
+                self.arrivals.append(arrival)
+            self.open[message.call] = arrival
+            task = asyncio.get_running_loop().create_task(self._answer(message, arrival, writer))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        elif message.type == Type.RELEASE:
+            known = self.open.pop(message.call, None)
+            if known is not None:
+                known.over = unix_ms()
+            self.standing.pop(message.call, None)
+            writer.write(write_message(Type.RELEASE_HEARD, message.call))
+        elif message.type == Type.TEST:
+            parameters: dict[int, bytes] = {Code.CAUSE: b"\x01", Code.REPORT: self.report()}
+            writer.write(write_message(Type.TEST_RESULT, message.call, parameters))
+
+    async def _answer(self, message: Message, arrival: Arrival, writer: asyncio.StreamWriter) -> None:
+        script = self.script
+        if script.mute:
+            return
+        await asyncio.sleep(script.delay / 1000.0)
+        while (left := self.stalled_until - unix_ms()) > 0:
+            await asyncio.sleep(left / 1000.0)
+        if self.open.get(message.call) is not arrival:
+            return  # given up meanwhile
+        del self.open[message.call]
+        arrival.over = unix_ms()
+        if script.refuse or script.error or script.cut:
+            cause = Cause.NO_CIRCUIT if script.refuse else Cause.RESOURCE_UNAVAILABLE
+            if script.cut:
+                cause = Cause.TEMPORARY_FAILURE
+            parameters: dict[int, bytes] = {Code.CAUSE: bytes((cause,)), Code.REPORT: self.report()}
+            if script.refuse:
+                parameters[Code.NOTE] = b"cpu_full"
+            writer.write(write_message(Type.RELEASE, message.call, parameters))
+            return
+        arrival.stood = True
+        self.standing[message.call] = writer
+        description = message.parameters.get(Code.DESCRIPTION, b"")
+        writer.write(write_message(Type.ANSWER, message.call, {Code.DESCRIPTION: description}))
+
+    def finish(self, call: bytes) -> None:
+        """A call that stands comes to its end."""
+        writer = self.standing.pop(call, None)
+        if writer is not None:
+            writer.write(write_release(call, Cause.NORMAL))
+
+
+class Board:
+    """The notice board: numbered notices to each proxy that follows, from the number it names."""
+
+    def __init__(self, last: int = 1) -> None:
+        self.first = last
+        self.frames: list[bytes] = []  # of the notices after ``first``
+        self.changed = asyncio.Event()
+        self.server: asyncio.Server | None = None
+        self.port = 0
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+
+    def tell(self, servers: Iterable[tuple[SessionServer, int]], started: int = 0) -> None:
+        """One notice of changes: servers and their states."""
+        number = self.first + len(self.frames) + 1
+        local = socket.inet_aton("127.0.0.1")
+        body = FRAME.pack(number, 2)
+        for server, state in servers:
+            body += RECORD.pack(server.number, local, server.port, state, 0, 0, server.number, 1000, started)
+        self.frames.append(LENGTH.pack(len(body)) + body)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            sent = int.from_bytes(await reader.readexactly(8), "big") - self.first
+            while True:
+                changed = self.changed
+                while sent < len(self.frames):
+                    writer.write(self.frames[sent])
+                    sent += 1
+                try:
+                    async with asyncio.timeout(1.0):
+                        await changed.wait()
+                except TimeoutError:
+                    empty = FRAME.pack(self.first + sent, 0)
+                    writer.write(LENGTH.pack(len(empty)) + empty)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
--- a/tests/extproc/support.py
+++ b/tests/extproc/support.py
@@ -36,6 +36,7 @@
     Route,
     Standing,
     ToFront,
+    Welcomed,
     Withdrawn,
 )
 from martentide.interface import CallClass, Ending, Repeat, ServerState
@@ -103,6 +104,10 @@
                 self._heard(message)
 
     def _heard(self, message: ToFront) -> None:
+        if isinstance(message, Welcomed):
+            held = {one.request for one in self.ledger.open.values()}
+            assert {*message.routed, *message.standing} == held, "pending requests outlived their stream"
+            return
         request = message.request
         if isinstance(message, Route):
             assert request not in self.out or self.out[request] == message.attempt, "two attempts out"
--- /dev/null
+++ b/tests/extproc/test_operator.py
@@ -0,0 +1,77 @@
+"""The operator's file: what it turns on, and one clear line for each mistake."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from martentide.extproc.limits import Limits
+from martentide.extproc.sessions import SessionTerms
+from martentide.operator import OperatorError, load_operator, read_operator
+from martentide.settings import settings_from
+from tests.net.support import ROOT, SETTINGS
+
+KNOWN = settings_from(SETTINGS)
+BASE = 'external-processor {{\n listen "127.0.0.1:7443"\n {}\n}}'
+
+
+def test_the_example_holds_the_defaults() -> None:
+    part = load_operator(str(ROOT / "deploy/operator.example.kdl"), KNOWN).external_processor
+    plain = read_operator(BASE.format(""), "f", KNOWN).external_processor
+    assert part == plain and part is not None
+    assert part.limits_terms() == Limits() and part.session_terms() == SessionTerms()
+    terms = part.ledger_terms(KNOWN, single=True)
+    assert (terms.release, terms.most_attempts, terms.single) == (200.0, 5, True)
+
+
+def test_an_empty_file_turns_nothing_on() -> None:
+    assert read_operator("// nothing", "f", KNOWN).external_processor is None
+
+
+@pytest.mark.parametrize(
+    ("text", "message"),
+    [
+        ("external-processor {", "f: line 1: Unexpected end of data"),
+        ('external-processor {\n listen "a:1"\n x=\n}', "f: line 3: "),
+        ("extern-processor {}", "f: extern-processor: unknown node; did you mean external-processor?"),
+        ('external-processor "x"', "takes no values of its own"),
+        ("external-processor {}", "f: external-processor: expected a node listen, found none"),
+        ("external-processor {\n listen 5\n}", "expected an address HOST:PORT, found 5"),
+        ('external-processor {\n listen "here"\n}', "expected HOST:PORT, found 'here'"),
+        (BASE.format('listen "a:2"'), "external-processor/listen: stands there twice"),
+        (BASE.format('services "grpc"'), "expected one of decisions, ext-proc, found 'grpc'"),
+        (BASE.format("limits reserv=1"), "limits: reserv: unknown property; did you mean reserve?"),
+        (BASE.format("limits reserve=2"), "limits: reserve: expected `float` <= 1.0, found 2"),
+        (BASE.format('limits reserve="x"'), "expected `float`, got `str`, found 'x'"),
+        (BASE.format("times valid-for-ms=1900"), "valid-for-ms: expected `float` <= 1800.0, found 1900"),
+        (BASE.format("limits 5"), "limits: expected properties NAME=VALUE only"),
+        (BASE.format("limit pending-all=1"), "limit: unknown node; did you mean limits?"),
+        (BASE.format('headers server="X y"'), "headers: server: expected `str` matching"),
+        (BASE.format("own-links 1"), "own-links: expected #true or #false, found 1"),
+    ],
+)
+def test_a_mistake_is_named_with_its_place_and_what_was_expected(text: str, message: str) -> None:
+    with pytest.raises(OperatorError) as caught:
+        read_operator(text, "f", KNOWN)
+    assert message in str(caught.value) and "\n" not in str(caught.value)
+
+
+@pytest.mark.parametrize(("raw", "message"), [(None, "No such file"), (b"\xff", "not UTF-8")])
+def test_a_file_that_can_not_be_read(tmp_path: Path, raw: bytes | None, message: str) -> None:
+    path = tmp_path / "operator.kdl"
+    if raw is not None:
+        path.write_bytes(raw)
+    with pytest.raises(OperatorError, match=message):
+        load_operator(str(path), KNOWN)
+
+
+def test_the_platforms_process_loads_none_of_the_modes_libraries() -> None:
+    code = (
+        "import sys, martentide.cli, martentide.net.service; "
+        "print([name for name in ('grpc', 'google', 'msgspec', 'ckdl', 'envoy') if name in sys.modules])"
+    )
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=30)
+    assert done.stdout == "[]\n", done.stderr
--- /dev/null
+++ b/tests/extproc/test_services.py
@@ -0,0 +1,457 @@
+"""Both services on real sockets: the program as a process, stand-in fronts, servers and board."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import grpc
+import pytest
+
+from martentide.client import Attempt, Call, Client, Ending, Refused, Route, Standing
+from martentide.codec.messages import Code, Type, body_length, read_message, write_message
+from martentide.decisions.v1 import decisions_pb2 as pb
+from martentide_lab.fronts import EnvoyStream, Lines, RawFront, set_headers
+from martentide_lab.proxy import ROOT, Proxy
+from martentide_lab.relay import Relay
+from martentide_lab.servers import DRAINING, Board, SessionServer
+
+LIMIT = 40.0  # s for a whole scene
+OPERATOR = 'external-processor {{\n listen "127.0.0.1:0"\n {}\n}}\n'
+
+
+class Scene:
+    """One running program with its site; ``servers`` take calls, ``proxy`` is the program."""
+
+    def __init__(self, proxy: Proxy, servers: list[SessionServer], board: Board) -> None:
+        self.proxy, self.servers, self.board = proxy, servers, board
+
+    @asynccontextmanager
+    async def raw(self, front: str = "raw") -> AsyncIterator[RawFront]:
+        async with RawFront(self.proxy.address) as one:
+            await one.hello(front)
+            yield one
+
+    def server(self, address: str) -> SessionServer:
+        return next(one for one in self.servers if one.address == address)
+
+
+def play(scene: Callable[[Scene], Awaitable[None]], more: str = "", servers: int = 2) -> None:
+    async def run() -> None:
+        site, board = [SessionServer(number) for number in range(servers)], Board()
+        for server in site:
+            await server.start()
+        await board.start()
+        async with asyncio.timeout(LIMIT), Proxy(board, site, OPERATOR.format(more)) as proxy:
+            await scene(Scene(proxy, site, board))
+        for server in site:
+            await server.stop()
+        await board.stop()
+
+    asyncio.run(run())
+
+
+def kind(message: pb.ProxyMessage) -> str:
+    return message.WhichOneof("kind") or ""
+
+
+def test_the_client_carries_a_call_past_a_server_that_refuses_to_its_one_final() -> None:
+    async def scene(one: Scene) -> None:
+        lines = Lines()
+        one.servers[0].script.refuse = True
+        async with Client([one.proxy.address], "edge") as client:
+
+            async def attempt(route: Route) -> Attempt:
+                return (await lines.set_up(route, "status-check"))[0]
+
+            done = await client.carry("status-check", attempt, "7f3a", 3000, first_choice=0)
+            assert isinstance(done.final, Standing) and done.attempts == 2
+            assert [len(server.arrivals) for server in one.servers] == [1, 1]
+            done.call.over()
+        assert "reason=peer-closed" in await one.proxy.logged("role=front peer=edge/1")
+        lines.close()
+
+    play(scene)
+
+
+def test_a_cancel_crossing_the_verdict_leaves_one_final() -> None:
+    async def scene(one: Scene) -> None:
+        async with one.raw() as front:
+            ask = pb.FrontMessage(ask=pb.Ask(request=1, call_class="status-check", time_left_ms=3000))
+            await front.send(ask, pb.FrontMessage(cancel=pb.Cancel(request=1)))  # in mid-decision
+            await front.ask(2)
+            assert (await front.next("route")).route.request == 2
+            await front.cancel(2)  # after the verdict
+            await front.cancel(2)  # and once more
+            await front.ask(3, left=0)
+            finals = [await front.next("cancelled", "refused", "failed", "route") for _ in range(2)]
+            assert [kind(m) for m in finals] == ["cancelled", "refused"]
+            assert finals[0].cancelled.request == 2 and finals[1].refused.request == 3
+
+    play(scene)
+
+
+def test_what_breaks_the_protocol_ends_that_stream_only() -> None:
+    async def scene(one: Scene) -> None:
+        async with one.raw("good") as good:
+            await good.ask(1)
+            bad: list[Callable[[RawFront], Awaitable[None]]] = [
+                lambda front: front.outcome(7),
+                lambda front: front.ask(5, 5),
+                lambda front: front.over(1),
+                lambda front: front.send(pb.FrontMessage()),
+                lambda front: front.send(pb.FrontMessage(hello=pb.Hello(front="again"))),
+            ]
+            for number, act in enumerate(bad):
+                async with one.raw(f"bad-{number}") as front:
+                    await act(front)
+                    assert await front.code() is grpc.StatusCode.INVALID_ARGUMENT
+            async with RawFront(one.proxy.address) as front:
+                await front.open()
+                huge = pb.Ask(request=1, call_class="x" * 60_000_000)
+                await front.send(pb.FrontMessage(ask=huge))
+                assert await front.code() is grpc.StatusCode.RESOURCE_EXHAUSTED
+            assert (await good.next("route")).route.request == 1
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    ("ask", "expected"),
+    [
+        (pb.Ask(request=1, call_class="nobody"), ("failed", "unknown-class")),
+        (pb.Ask(request=1, call_class="status-check", time_left_ms=-5), ("failed", "bad-request")),
+        (pb.Ask(request=1, call_class="status-check", time_left_ms=0), ("refused", "deadline")),
+        (pb.Ask(request=1, call_class="status-check", time_left_ms=2**62), ("route", "")),
+        (pb.Ask(request=1, call_class="status-check"), ("route", "")),
+    ],
+)
+def test_odd_questions_have_defined_verdicts(ask: pb.Ask, expected: tuple[str, str]) -> None:
+    async def scene(one: Scene) -> None:
+        async with one.raw() as front:
+            await front.send(pb.FrontMessage(ask=ask))
+            message = await front.next()
+            said = getattr(message, kind(message))
+            assert (kind(message), getattr(said, "why", "")) == expected
+
+    play(scene)
+
+
+def test_a_front_that_never_reports_is_told_to_give_up_before_the_next_route() -> None:
+    async def scene(one: Scene) -> None:
+        async with one.raw() as front:
+            await front.ask(1)
+            first = (await front.next("route")).route
+            back = (await front.next("withdrawn")).withdrawn
+            assert (back.attempt, back.if_unused, back.why) == (0, False, "patience")
+            second = (await front.next("route")).route
+            assert second.attempt == 1 and second.server != first.server
+            await front.outcome(1, "STANDS", 0)  # late, of the first
+            assert (await front.next("withdrawn")).withdrawn.why == "late"
+            await front.outcome(1, "STANDS", 1)
+            assert (await front.next("stands")).stands.request == 1
+            await front.outcome(1, "STANDS", 1)  # twice
+            await front.over(1)
+            await front.ask(2)
+            assert (await front.next()).route.request == 2
+
+    play(scene)
+
+
+def test_a_broken_stream_is_gone_on_with_by_its_session_alone() -> None:
+    async def scene(one: Scene) -> None:
+        async with one.raw() as front, RawFront(one.proxy.address) as again:
+            await front.ask(1, 2)
+            routes = [(await front.next("route")).route for _ in range(2)]
+            await front.outcome(2)
+            await front.next("stands")
+            front.break_off()
+            await one.proxy.logged("reason=peer-reset")
+            await again.open()
+            await again.send(pb.FrontMessage(hello=pb.Hello(front="thief", session=front.token)))
+            assert await again.code() is grpc.StatusCode.PERMISSION_DENIED
+            welcome = await again.hello("raw", front.token)
+            assert list(welcome.routed) == [1] and list(welcome.standing) == [2]
+            once_more = (await again.next("route")).route
+            assert (once_more.request, once_more.server) == (1, routes[0].server)
+            await again.outcome(1)
+            assert (await again.next("stands")).stands.request == 1
+            again.break_off()
+            await asyncio.sleep(0.4)  # the lease
+            await front.open()
+            await front.send(pb.FrontMessage(hello=pb.Hello(front="raw", session=front.token)))
+            assert await front.code() is grpc.StatusCode.NOT_FOUND
+
+    play(scene, "sessions lease-ms=300")
+
+
+def test_a_newer_stream_of_a_session_replaces_the_older() -> None:
+    async def scene(one: Scene) -> None:
+        async with one.raw() as front, RawFront(one.proxy.address) as again:
+            await front.ask(1)
+            await front.next("route")
+            assert list((await again.hello("raw", front.token)).routed) == [1]
+            assert await front.code() is grpc.StatusCode.ABORTED
+            await again.outcome(1)
+            await again.next("stands")
+
+    play(scene)
+
+
+def test_the_client_comes_back_after_a_cut_and_each_call_keeps_one_final() -> None:
+    async def scene(one: Scene) -> None:
+        relay = Relay(one.proxy.address)
+        await relay.start()
+        async with Client([relay.address], "edge") as client:
+            routed = await client.ask("status-check", "a", 4000)
+            assert routed.begin()
+            relay.cut()
+            asked = client.ask_nowait("status-check", "b", 4000)
+            verdict = await routed.report(Attempt(None))
+            assert isinstance(verdict, Standing)
+            assert isinstance(await asked.next(), Route) and client.breaks == 1
+            assert not client.requests.counts["doubled"] and asked.verdicts.empty()
+        await relay.stop()
+
+    play(scene)
+
+
+def test_a_frozen_network_leaves_the_caller_with_a_refusal_in_time() -> None:
+    async def scene(one: Scene) -> None:
+        relay = Relay(one.proxy.address)
+        await relay.start()
+        async with Client([relay.address], "edge") as client:
+            await client.connected.wait()
+            relay.freeze()
+            call = await client.ask("status-check", "a", 300)
+            assert isinstance(call.verdict, Refused) and call.verdict.why.value == "deadline"
+            assert client.loop.time() - call.asked_at < 1.0
+            relay.thaw()
+        await relay.stop()
+
+    play(scene)
+
+
+def test_a_route_to_a_server_that_drains_is_taken_back_and_made_anew() -> None:
+    async def scene(one: Scene) -> None:
+        async with one.raw() as front:
+            await front.ask(1)
+            route = (await front.next("route")).route
+            assert 0 < route.valid_for_ms <= 1000, "its first byte keeps the drain rule, come what may"
+            draining = one.server(route.address)
+            one.board.tell([(draining, DRAINING)])
+            back = (await front.next("withdrawn")).withdrawn
+            assert back.if_unused and back.why == "draining"
+            await front.outcome(1, "NOT_SENT")
+            anew = (await front.next("route")).route
+            assert anew.server != route.server and anew.attempt == 1
+
+    play(scene)
+
+
+def test_two_fronts_and_a_caller_share_one_controller_and_their_numbers_do_not_meet() -> None:
+    async def scene(one: Scene) -> None:
+        host, _, port = one.proxy.callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        call = bytes(7) + b"\x01"
+        parameters: dict[int, bytes] = {
+            Code.CLASS: b"status-check",
+            Code.TIME_LEFT: b"3000",
+            Code.NUMBER: b"7f3a",
+            Code.FIGURES: b"dest:0;width:1;via:-1",
+            Code.DESCRIPTION: b"d",
+        }
+        async with one.raw("a") as a, one.raw("b") as b:
+            await asyncio.gather(a.ask(1), b.ask(1))
+            writer.write(write_message(Type.SET_UP, call, parameters))
+            for front in (a, b):
+                assert (await front.next("route")).route.request == 1
+                await front.outcome(1)
+                await front.next("stands")
+                await front.over(1)
+            answer = read_message(await reader.readexactly(body_length(await reader.readexactly(2))))
+            assert (answer.type, answer.call) == (Type.ANSWER, call)
+        writer.close()
+
+    play(scene)
+
+
+def test_ten_thousand_questions_on_one_stream_have_one_verdict_each() -> None:
+    async def scene(one: Scene) -> None:
+        count = 10_000
+        async with one.raw() as front:
+            seen: Counter[int] = Counter()
+            whys: Counter[str] = Counter()
+
+            async def ask() -> None:
+                for start in range(1, count + 1, 250):
+                    await front.ask(*range(start, start + 250), left=1500)
+
+            async def hear() -> None:
+                while len(seen) < count:
+                    message = await front.next("route", "refused", "failed")
+                    said = getattr(message, kind(message))
+                    if kind(message) == "route":
+                        await front.cancel(said.request)
+                    else:
+                        whys[said.why] += 1
+                    seen[said.request] += 1
+
+            await asyncio.gather(ask(), hear())
+            assert set(seen.values()) == {1} and whys["front-busy"] > 5000
+
+    play(scene, "limits pending-each=50 rate-each=100000")
+
+
+def test_a_front_that_reads_nothing_is_closed_and_delays_nobody() -> None:
+    async def scene(one: Scene) -> None:
+        async with one.raw("deaf") as deaf, one.raw("good") as good:
+            with pytest.raises(TimeoutError):  # what the network holds for it is full, and it reads no more
+                for start in range(1, 10_000_000, 250):
+                    async with asyncio.timeout(1):
+                        await deaf.ask(*range(start, start + 250), name="nobody")
+            await good.ask(1)
+            assert (await good.next("route")).route.request == 1
+            await one.proxy.logged("peer=deaf/1 reason=blocked")
+
+    play(scene, "streams blocked-ms=300 most-unsent=2000")
+
+
+def test_sigterm_answers_all_and_sighup_takes_new_limits_but_no_bad_file() -> None:
+    async def scene(one: Scene) -> None:
+        async with one.raw() as front:
+            one.proxy.write("external-processor {")
+            one.proxy.send(signal.SIGHUP)
+            assert "line 1" in await one.proxy.logged("reload-failed")
+            one.proxy.write(OPERATOR.format('limits pending-each=1\n services "decisions"'))
+            one.proxy.send(signal.SIGHUP)
+            line = await one.proxy.logged("reloaded")
+            assert "restart_needed_for=external-processor.listen" not in line
+            assert "external-processor.services" in line
+            for server in one.servers:
+                server.script.mute = True
+            await front.ask(1, 2, left=1200)
+            first = [await front.next("route", "refused") for _ in range(2)]
+            assert sorted(map(kind, first)) == ["refused", "route"]
+            one.proxy.send(signal.SIGTERM)
+            assert (await front.next("go_away")).go_away.why == "closing"
+            await front.ask(3)
+            final = await front.next("refused")
+            assert (final.refused.request, final.refused.why) == (3, "closing")
+            await front.outcome(1, "ERROR")
+            assert (await front.next("route", "failed")) is not None
+            await front.cancel(1)
+            assert await front.code() is grpc.StatusCode.UNAVAILABLE
+            assert await one.proxy.ended() == 0
+
+    play(scene)
+
+
+# ---- Envoy's service --------------------------------------------------------------------------------------
+
+ASKED: dict[str, str | bytes] = {
+    "x-call-class": "status-check",
+    "x-call-deadline-ms": "3000",
+    "x-called-number": "7f3a",
+}
+
+
+def test_envoy_is_told_the_server_and_its_answer_ends_the_attempt() -> None:
+    async def scene(one: Scene) -> None:
+        async with grpc.aio.insecure_channel(one.proxy.address) as channel:
+            stream = EnvoyStream(channel)
+            asked = await stream.request(ASKED)
+            told = set_headers(asked)
+            assert told["x-envoy-original-dst-host"] in [server.address for server in one.servers]
+            assert told["x-martentide-attempt"] == "0" and int(told["x-envoy-upstream-rq-timeout-ms"]) > 0
+            passed = await stream.response(200, x_load_report="x0:10;x1:20;eps:0.1")
+            assert passed.WhichOneof("response") == "response_headers" and not set_headers(passed)
+            await stream.done()
+            full = EnvoyStream(channel)
+            await full.request(ASKED)
+            answered = await full.response(503)
+            assert set_headers(answered) == {"x-martentide-why": "decided"}
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    ("headers", "status", "detail"),
+    [
+        ({**ASKED, "x-call-class": "nobody"}, 400, "unknown-class"),
+        ({"x-called-number": "1"}, 400, "x-call-class: missing"),
+        ({**ASKED, "x-called-number": b"\xff\xfe"}, 400, "is not UTF-8"),
+        ({**ASKED, "x-call-deadline-ms": "soon"}, 400, "expected a whole number"),
+        ({**ASKED, "x-call-deadline-ms": "-3"}, 400, "expected 0 or more"),
+        ({**ASKED, "x-call-deadline-ms": "0"}, 503, ""),
+    ],
+)
+def test_envoy_gets_a_clear_refusal_of_what_can_not_be_asked(
+    headers: dict[str, str | bytes], status: int, detail: str
+) -> None:
+    async def scene(one: Scene) -> None:
+        async with grpc.aio.insecure_channel(one.proxy.address) as channel:
+            answer = (await EnvoyStream(channel).request(headers)).immediate_response
+            assert answer.status.code == status and detail in answer.body.decode()
+
+    play(scene)
+
+
+def test_envoys_resets_before_and_after_the_verdict_settle_what_was_open() -> None:
+    async def scene(one: Scene) -> None:
+        async with grpc.aio.insecure_channel(one.proxy.address) as channel:
+            for _ in range(3):
+                stream = EnvoyStream(channel)
+                await stream.request(ASKED)
+                stream.reset()
+            for _ in range(3):
+                await one.proxy.logged("reason=peer-reset")
+            one.proxy.send(signal.SIGTERM)
+            await one.proxy.logged("stopped")  # nothing is left open, or it would wait
+            assert await one.proxy.ended() == 0
+
+    play(scene)
+
+
+def test_an_answer_over_a_server_that_is_gone_is_reset() -> None:
+    async def scene(one: Scene) -> None:
+        async with grpc.aio.insecure_channel(one.proxy.address) as channel:
+            stream = EnvoyStream(channel)
+            address = set_headers(await stream.request(ASKED))["x-envoy-original-dst-host"]
+            await stream.response(200)
+            one.board.tell([(one.server(address), 2)])
+            with pytest.raises(grpc.aio.AioRpcError) as caught:
+                await stream._read()
+            assert caught.value.code() is grpc.StatusCode.UNAVAILABLE
+
+    play(scene)
+
+
+@pytest.mark.parametrize(("name", "said"), [("carry", "Standing after 1"), ("step_by_step", "stands\n")])
+def test_the_examples_run_as_printed(name: str, said: str) -> None:
+    async def scene(one: Scene) -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, f"examples/{name}.py", one.proxy.address, cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": str(ROOT)}, stdout=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        out, _ = await process.communicate()
+        assert said in out.decode() and process.returncode == 0
+
+    play(scene)
+
+
+def test_a_call_of_a_closed_client_raises() -> None:
+    async def scene(one: Scene) -> None:
+        client = Client([one.proxy.address], "edge")
+        async with client:
+            call: Call = await client.ask("status-check", "a", 3000)
+            assert call.begin()
+        with pytest.raises(Exception, match="closed"):
+            await call.report(Attempt(Ending.ERROR))
+
+    play(scene)
