--- a/benchmarks/extproc.py
+++ b/benchmarks/extproc.py
@@ -41,7 +41,7 @@
 WORKERS = 5  # processes that play fronts in the mixed part, two fronts each
 WARM_UP = 1.0  # s from which on delays count; the rules count from the first request
 LEFT = 3000  # ms that a caller waits
-OPERATOR = """
+EXTRAS = """
 external-processor {
     listen "127.0.0.1:0"
     limits rate-each=100000 pending-each=100000 pending-all=100000 open-each=1000000 open-all=1000000
@@ -390,7 +390,7 @@
     site = Site(4, delay=8.0)
     await site.start()
     result: dict[str, Any] = {"requests": requests}
-    async with Proxy(site.board, site.servers, OPERATOR) as proxy:
+    async with Proxy(site.board, site.servers, EXTRAS) as proxy:
         trouble = asyncio.create_task(site.trouble(min(3.0, requests / rate / 5)))
         seen, counts, stories, breaks = await mixed_by_workers(proxy, requests, rate, WORKERS, seed)
         envoy_lines = Lines(99)
@@ -430,7 +430,7 @@
         )
         for server in site.all:
             server.keep_arrivals = False
-    async with Proxy(site.board, site.servers, OPERATOR) as proxy:
+    async with Proxy(site.board, site.servers, EXTRAS) as proxy:
         await flat_out(proxy, "own", max(3000, memory // 20), 3)
         settled_mb = proxy.resident()
         own_rate, own_cpu = await flat_out(proxy, "own", memory, 3)
--- a/benchmarks/learned_kills.py
+++ b/benchmarks/learned_kills.py
@@ -27,7 +27,7 @@
 from martentide_lab.proxy import Proxy
 from martentide_lab.servers import Board, SessionServer
 
-OPERATOR = """
+EXTRAS = """
 learned-state {{
     folder "{folder}"
     times period-ms=50 gap-ms=10
@@ -95,7 +95,7 @@
     await board.start()
     servers[0].script.hold_back = 0.5
     times = []
-    proxy = Proxy(board, servers, OPERATOR.format(folder=folder))
+    proxy = Proxy(board, servers, EXTRAS.format(folder=folder))
     for number in range(kills):
         if number % 25 == 0:  # now and then from nothing
             for name in os.listdir(folder):
--- a/martentide/cli.py
+++ b/martentide/cli.py
@@ -27,7 +27,7 @@
 
 def config_options(command: Callable[..., Any]) -> Callable[..., Any]:
     command = click.option(
-        "--operator", metavar="FILE", help="operator's settings (KDL); default: $MARTENTIDE_OPERATOR"
+        "--extras", metavar="FILE", help="what is on beside the platform (KDL); default: $MARTENTIDE_EXTRAS"
     )(command)
     return click.option("--config", metavar="FILE", help="configuration; default: $PROXY_CONFIG")(command)
 
@@ -44,24 +44,24 @@
 
 @top.command("check-config", help="Read the configuration, say what it holds and exit.")
 @config_options
-def check_config(config: str | None, operator: str | None) -> None:
-    read = load_or_exit(config, operator)
+def check_config(config: str | None, extras: str | None) -> None:
+    read = load_or_exit(config, extras)
     click.echo(summary(read))
-    if read.operator is not None:
-        click.echo(read.operator.summary())
+    if read.extras is not None:
+        click.echo(read.extras.summary())
 
 
 @top.command("serve", help="Serve calls until SIGTERM (the default).")
 @config_options
 @click.option("--log-level", type=click.Choice(list(log.LEVELS)), default="info", show_default=True)
 @click.option("--log-format", type=click.Choice(log.FORMATS), default="text", show_default=True)
-def serve_command(config: str | None, operator: str | None, log_level: str, log_format: str) -> None:
+def serve_command(config: str | None, extras: str | None, log_level: str, log_format: str) -> None:
     # Guards against a reload that comes before the loop is up: the file is read after this, so it is new.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    read = load_or_exit(config, operator)
+    read = load_or_exit(config, extras)
     log.configure(log_level, log_format)
     try:
-        asyncio.run(serve(read, lambda: load_config(os.environ, config, operator)))
+        asyncio.run(serve(read, lambda: load_config(os.environ, config, extras)))
     except OSError as error:
         click.echo(f"martentide: {read.listen}: {error.strerror or error}", err=True)
         sys.exit(CANNOT_LISTEN)
@@ -131,9 +131,9 @@
     sys.exit(1 if lines else 0)
 
 
-def load_or_exit(config: str | None, operator: str | None) -> Config:
+def load_or_exit(config: str | None, extras: str | None) -> Config:
     try:
-        return load_config(os.environ, config, operator)
+        return load_config(os.environ, config, extras)
     except ConfigError as error:
         click.echo(f"martentide: {error}", err=True)
         sys.exit(BAD_CONFIG)
--- a/martentide/extproc/ledger.py
+++ b/martentide/extproc/ledger.py
@@ -59,7 +59,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Terms:
-    """Times of the lifecycle in ms, from the operator's file; ``single``: one attempt for each request."""
+    """Times of the lifecycle in ms, from the extras file; ``single``: one attempt for each request."""
 
     verdict_margin: float = 20.0  # before the caller's time is over, the last final goes out
     margin_share: float = 0.2  # of the time left, where that is less
--- a/martentide/operator.py
+++ b/martentide/extras.py
@@ -1,7 +1,7 @@
-"""The operator's own file (KDL): what is turned on beside the platform's protocol, and its figures.
+"""The extras file (KDL): what is turned on beside the platform's protocol, and its figures.
 
 Every fault names the file, the node and the property, what was found and what was expected. A subsystem that
-the file does not name is off. ``deploy/operator.example.kdl`` shows all there is.
+the file does not name is off. ``deploy/extras.example.kdl`` shows all there is.
 """
 
 from __future__ import annotations
@@ -30,8 +30,8 @@
 Status = Annotated[int, msgspec.Meta(ge=100, le=599)]
 
 
-class OperatorError(Exception):
-    """The operator's file can't be used; the text is one line."""
+class ExtrasError(Exception):
+    """The extras file can't be used; the text is one line."""
 
 
 class Node(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename="kebab"):
@@ -147,7 +147,7 @@
         return Pace(period=self.times.period_ms, gap=self.times.gap_ms)
 
 
-class Operator(msgspec.Struct, frozen=True):
+class Extras(msgspec.Struct, frozen=True):
     """The whole file; what is None is off."""
 
     path: str
@@ -175,38 +175,38 @@
 AnyNode = TypeVar("AnyNode", bound=Node)
 
 
-def load_operator(path: str, settings: Settings) -> Operator:
-    """Read and check the file; raises OperatorError."""
+def load_extras(path: str, settings: Settings) -> Extras:
+    """Read and check the file; raises ExtrasError."""
     try:
         with Path(path).open("rb") as file:
             raw = file.read(MOST_FILE + 1)
     except OSError as error:
-        raise OperatorError(f"{path}: {error.strerror}") from None
+        raise ExtrasError(f"{path}: {error.strerror}") from None
     if len(raw) > MOST_FILE:
-        raise OperatorError(f"{path}: more than {MOST_FILE} bytes")
+        raise ExtrasError(f"{path}: more than {MOST_FILE} bytes")
     try:
         text = raw.decode("utf-8")
     except UnicodeDecodeError as error:
-        raise OperatorError(f"{path}: byte {error.start}: not UTF-8") from None
-    return read_operator(text, path, settings)
+        raise ExtrasError(f"{path}: byte {error.start}: not UTF-8") from None
+    return read_extras(text, path, settings)
 
 
-def read_operator(text: str, path: str, settings: Settings) -> Operator:
+def read_extras(text: str, path: str, settings: Settings) -> Extras:
     try:
         document = ckdl.parse(text)
     except ckdl.ParseError as error:
-        raise OperatorError(f"{path}: line {_bad_line(text)}: {error}") from None
+        raise ExtrasError(f"{path}: line {_bad_line(text)}: {error}") from None
     found: dict[str, Any] = {}
     for node in document.nodes:
         where = f"{path}: {node.name}"
         if node.name not in TOP:
-            raise OperatorError(f"{where}: unknown node{_nearest(node.name, list(TOP))}")
+            raise ExtrasError(f"{where}: unknown node{_nearest(node.name, list(TOP))}")
         if node.name in found:
-            raise OperatorError(f"{where}: stands there twice")
+            raise ExtrasError(f"{where}: stands there twice")
         if node.args or node.properties:
-            raise OperatorError(f"{where}: takes no values of its own, its figures stand in nodes inside")
+            raise ExtrasError(f"{where}: takes no values of its own, its figures stand in nodes inside")
         found[node.name] = TOP[node.name](node, path)
-    return Operator(path, found.get("external-processor"), found.get("learned-state"))
+    return Extras(path, found.get("external-processor"), found.get("learned-state"))
 
 
 def _bad_line(text: str) -> int:
@@ -229,23 +229,23 @@
             values["listen"] = _one(child, str, "an address HOST:PORT", here)
             host, colon, port = values["listen"].rpartition(":")
             if not colon or not host or not port.isdecimal() or int(port) > 65535:
-                raise OperatorError(f"{here}: expected HOST:PORT, found {values['listen']!r}")
+                raise ExtrasError(f"{here}: expected HOST:PORT, found {values['listen']!r}")
         elif child.name == "own-links":
             values["own-links"] = _one(child, bool, "#true or #false", here)
         elif child.name == "services":
             for name in child.args:
                 if name not in SERVICES:
-                    raise OperatorError(f"{here}: expected one of {', '.join(SERVICES)}, found {name!r}")
+                    raise ExtrasError(f"{here}: expected one of {', '.join(SERVICES)}, found {name!r}")
             if not child.args or child.properties or child.children:
-                raise OperatorError(f"{here}: expected names of services")
+                raise ExtrasError(f"{here}: expected names of services")
             values["services"] = tuple(child.args)
         elif child.name in PARTS:
             values[child.name] = _part(child, PARTS[child.name], here)
         else:
             known = ["listen", "own-links", "services", *PARTS]
-            raise OperatorError(f"{here}: unknown node{_nearest(child.name, known)}")
+            raise ExtrasError(f"{here}: unknown node{_nearest(child.name, known)}")
     if "listen" not in values:
-        raise OperatorError(f"{where}: expected a node listen, found none")
+        raise ExtrasError(f"{where}: expected a node listen, found none")
     return ExternalProcessor(**{name.replace("-", "_"): value for name, value in values.items()})
 
 
@@ -256,13 +256,13 @@
         if child.name == "folder":
             values["folder"] = _one(child, str, "a path", here)
             if not values["folder"].startswith("/"):
-                raise OperatorError(f"{here}: expected a path from the root, found {values['folder']!r}")
+                raise ExtrasError(f"{here}: expected a path from the root, found {values['folder']!r}")
         elif child.name == "times":
             values["times"] = _part(child, TimesOfState, here)
         else:
-            raise OperatorError(f"{here}: unknown node{_nearest(child.name, ['folder', 'times'])}")
+            raise ExtrasError(f"{here}: unknown node{_nearest(child.name, ['folder', 'times'])}")
     if "folder" not in values:
-        raise OperatorError(f"{where}: expected a node folder, found none")
+        raise ExtrasError(f"{where}: expected a node folder, found none")
     return LearnedState(**values)
 
 
@@ -278,7 +278,7 @@
     for child in node.children:
         here = f"{where}/{child.name}"
         if child.name in seen:
-            raise OperatorError(f"{here}: stands there twice")
+            raise ExtrasError(f"{here}: stands there twice")
         seen.add(child.name)
         yield child, here
 
@@ -286,22 +286,22 @@
 def _one(node: ckdl.Node, kind: type, expected: str, where: str) -> Any:
     if len(node.args) != 1 or node.properties or node.children or type(node.args[0]) is not kind:
         found = ", ".join(repr(value) for value in node.args) or "none"
-        raise OperatorError(f"{where}: expected {expected}, found {found}")
+        raise ExtrasError(f"{where}: expected {expected}, found {found}")
     return node.args[0]
 
 
 def _part(node: ckdl.Node, kind: type[AnyNode], where: str) -> AnyNode:
     if node.args or node.children:
-        raise OperatorError(f"{where}: expected properties NAME=VALUE only")
+        raise ExtrasError(f"{where}: expected properties NAME=VALUE only")
     names = [field.encode_name for field in msgspec.structs.fields(kind)]
     for name, value in node.properties.items():
         if name not in names:
-            raise OperatorError(f"{where}: {name}: unknown property{_nearest(name, names)}")
+            raise ExtrasError(f"{where}: {name}: unknown property{_nearest(name, names)}")
         try:
             msgspec.convert({name: value}, kind)
         except msgspec.ValidationError as error:
             said = str(error).split(" - at ")[0]
-            raise OperatorError(f"{where}: {name}: {said[0].lower()}{said[1:]}, found {value!r}") from None
+            raise ExtrasError(f"{where}: {name}: {said[0].lower()}{said[1:]}, found {value!r}") from None
     return msgspec.convert(node.properties, kind)
 
 
--- a/martentide/net/config.py
+++ b/martentide/net/config.py
@@ -14,7 +14,7 @@
 from martentide.settings import SettingsError, settings_from
 
 if TYPE_CHECKING:
-    from martentide.operator import Operator
+    from martentide.extras import Extras
 
 
 class ConfigError(Exception):
@@ -45,7 +45,7 @@
     zones: tuple[str, ...]
     connect_timeout: float
     max_open: int
-    operator: Operator | None = None  # the operator's own file, where there is one
+    extras: Extras | None = None  # what the extras file turns on
 
 
 def read_address(text: Any, what: str) -> Address:
@@ -56,11 +56,11 @@
 
 
 def load_config(
-    environment: Mapping[str, str], path: str | None = None, operator: str | None = None
+    environment: Mapping[str, str], path: str | None = None, extras: str | None = None
 ) -> Config:
     """The configuration file named by ``path`` or PROXY_CONFIG; the other variables go before its text.
 
-    The operator's file is the one named by ``operator`` or MARTENTIDE_OPERATOR; without either there is none.
+    The extras file is the one named by ``extras`` or MARTENTIDE_EXTRAS; without either there is none.
     """
     path = path or environment.get("PROXY_CONFIG")
     if not path:
@@ -77,14 +77,14 @@
         if environment.get(variable):
             raw[key] = environment[variable]
     config = read_config(raw)
-    operator = operator or environment.get("MARTENTIDE_OPERATOR")
-    if not operator:
+    extras = extras or environment.get("MARTENTIDE_EXTRAS")
+    if not extras:
         return config
-    from martentide.operator import OperatorError, load_operator  # its libraries are not the platform's
+    from martentide.extras import ExtrasError, load_extras  # its libraries are not the platform's
 
     try:
-        return replace(config, operator=load_operator(operator, config.settings))
-    except OperatorError as error:
+        return replace(config, extras=load_extras(extras, config.settings))
+    except ExtrasError as error:
         raise ConfigError(str(error)) from None
 
 
--- a/martentide/net/extproc/host.py
+++ b/martentide/net/extproc/host.py
@@ -11,7 +11,7 @@
 from martentide.extproc.sessions import Sessions
 from martentide.interface import Settings
 from martentide.net.decider import Decider
-from martentide.operator import ExternalProcessor, StreamsNode
+from martentide.extras import ExternalProcessor, StreamsNode
 
 
 class Host:
--- a/martentide/net/extproc/server.py
+++ b/martentide/net/extproc/server.py
@@ -21,7 +21,7 @@
 from martentide.net.extproc.envoy import ExternalProcessor as Envoy
 from martentide.net.extproc.front import Front, places
 from martentide.net.extproc.host import Host
-from martentide.operator import ExternalProcessor
+from martentide.extras import ExternalProcessor
 
 DECISIONS = "martentide.decisions.v1.Decisions"
 EXT_PROC = "envoy.service.ext_proc.v3.ExternalProcessor"
@@ -33,7 +33,7 @@
 
 
 class ExternalProcessorServer:
-    """Built where the operator's file turns the mode on; nothing of it is imported otherwise."""
+    """Built where the extras file turns the mode on; nothing of it is imported otherwise."""
 
     def __init__(self, part: ExternalProcessor, settings: Settings, decider: Decider, seed: int) -> None:
         self.part = part
@@ -93,7 +93,7 @@
         self.decisions.list_changed(listed)
 
     def change(self, part: ExternalProcessor) -> list[str]:
-        """New figures from the operator's file; returns what waits for a restart."""
+        """New figures from the extras file; returns what waits for a restart."""
         kept = [name for name in FIXED if getattr(part, name) != getattr(self.part, name)]
         self.host.change(part)
         for member in self.decisions.members.values():
--- a/martentide/net/learned.py
+++ b/martentide/net/learned.py
@@ -1,7 +1,7 @@
 """The store of learned state on a real disk: an actor with a mailbox, and one thread for its file work.
 
 A disk that takes seconds, or never answers, delays no call: the thread alone waits for it. Imported only
-where the operator's file turns it on.
+where the extras file turns it on.
 """
 
 from __future__ import annotations
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -70,12 +70,12 @@
     # What an instance is born with (name, address, seed, settings) is the same until its next start.
     fixed = ("name", "listen", "settings", "zones")
     kept = [key for key in fixed if getattr(new, key) != getattr(config, key)]
-    part = new.operator.external_processor if new.operator is not None else None
+    part = new.extras.external_processor if new.extras is not None else None
     if processor is not None and part is not None:
         kept += [f"external-processor.{name}" for name in processor.change(part)]
     elif (processor is None) != (part is None):
         kept.append("external-processor")
-    state = new.operator.learned_state if new.operator is not None else None
+    state = new.extras.learned_state if new.extras is not None else None
     if store is not None and state is not None:
         store.move(state.folder, state.pace())
     elif (store is None) != (state is None):
@@ -95,7 +95,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
 
-    part = config.operator.external_processor if config.operator is not None else None
+    part = config.extras.external_processor if config.extras is not None else None
     dials = part is None or part.own_links
     settings = config.settings if dials else dataclasses.replace(config.settings, may_probe=False)
 
@@ -110,7 +110,7 @@
     callers = Callers(int(config.sockets * CALLERS_SHARE), decider.post)
 
     store: Store | None = None
-    if config.operator is not None and (state := config.operator.learned_state) is not None:
+    if config.extras is not None and (state := config.extras.learned_state) is not None:
         from martentide.net.learned import Store
 
         store = Store(state.folder, state.pace(), config.settings, decider, config.seed)
--- a/martentide_lab/proxy.py
+++ b/martentide_lab/proxy.py
@@ -64,8 +64,8 @@
 class Proxy:
     """One running program. ``log`` holds its lines; ``address`` is the external processor's."""
 
-    def __init__(self, board: Board, servers: Sequence[SessionServer], operator: str | None) -> None:
-        self.board, self.servers, self.operator = board, servers, operator
+    def __init__(self, board: Board, servers: Sequence[SessionServer], extras: str | None) -> None:
+        self.board, self.servers, self.extras = board, servers, extras
         self.folder = Path(tempfile.mkdtemp(prefix="martentide-"))
         self.process: asyncio.subprocess.Process | None = None
         self.log: list[str] = []
@@ -80,9 +80,9 @@
     async def __aexit__(self, *_: object) -> None:
         await self.kill()
 
-    def write(self, operator: str | None) -> None:
-        if operator is not None:
-            (self.folder / "operator.kdl").write_text(operator)
+    def write(self, extras: str | None) -> None:
+        if extras is not None:
+            (self.folder / "extras.kdl").write_text(extras)
 
     async def start(self) -> None:
         known = [endpoint(server) for server in self.servers]
@@ -95,11 +95,11 @@
             "settings": site_settings(len(self.servers)),
         }  # fmt: skip
         (self.folder / "config.json").write_text(json.dumps(config))
-        self.write(self.operator)
+        self.write(self.extras)
         command = [sys.executable, "-B", "-m", "martentide", "serve"]
         command += ["--config", str(self.folder / "config.json")]
-        if self.operator is not None:
-            command += ["--operator", str(self.folder / "operator.kdl")]
+        if self.extras is not None:
+            command += ["--extras", str(self.folder / "extras.kdl")]
         environment = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
         self.process = await asyncio.create_subprocess_exec(
             *command, cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE, limit=1024 * 1024
@@ -107,7 +107,7 @@
         self.reader = asyncio.create_task(self._read())
         line = await self.logged("serving ")
         self.callers = line.split("address=")[1].split()[0]
-        if self.operator is not None and "external-processor" in self.operator:
+        if self.extras is not None and "external-processor" in self.extras:
             self.address = (await self.logged("external-processor ")).split("address=")[1].split()[0]
 
     async def _read(self) -> None:
--- a/tests/extproc/test_operator.py
+++ b/tests/extproc/test_extras.py
@@ -1,4 +1,4 @@
-"""The operator's file: what it turns on, and one clear line for each mistake."""
+"""The extras file: what it turns on, and one clear line for each mistake."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 from martentide.extproc.limits import Limits
 from martentide.extproc.sessions import SessionTerms
-from martentide.operator import OperatorError, load_operator, read_operator
+from martentide.extras import ExtrasError, load_extras, read_extras
 from martentide.settings import settings_from
 from tests.net.support import ROOT, SETTINGS
 
@@ -19,8 +19,8 @@
 
 
 def test_the_example_holds_the_defaults() -> None:
-    part = load_operator(str(ROOT / "deploy/operator.example.kdl"), KNOWN).external_processor
-    plain = read_operator(BASE.format(""), "f", KNOWN).external_processor
+    part = load_extras(str(ROOT / "deploy/extras.example.kdl"), KNOWN).external_processor
+    plain = read_extras(BASE.format(""), "f", KNOWN).external_processor
     assert part == plain and part is not None
     assert part.limits_terms() == Limits() and part.session_terms() == SessionTerms()
     terms = part.ledger_terms(KNOWN, single=True)
@@ -28,7 +28,7 @@
 
 
 def test_an_empty_file_turns_nothing_on() -> None:
-    assert read_operator("// nothing", "f", KNOWN).external_processor is None
+    assert read_extras("// nothing", "f", KNOWN).external_processor is None
 
 
 @pytest.mark.parametrize(
@@ -64,18 +64,18 @@
     ],
 )
 def test_a_mistake_is_named_with_its_place_and_what_was_expected(text: str, message: str) -> None:
-    with pytest.raises(OperatorError) as caught:
-        read_operator(text, "f", KNOWN)
+    with pytest.raises(ExtrasError) as caught:
+        read_extras(text, "f", KNOWN)
     assert message in str(caught.value) and "\n" not in str(caught.value)
 
 
 @pytest.mark.parametrize(("raw", "message"), [(None, "No such file"), (b"\xff", "not UTF-8")])
 def test_a_file_that_can_not_be_read(tmp_path: Path, raw: bytes | None, message: str) -> None:
-    path = tmp_path / "operator.kdl"
+    path = tmp_path / "extras.kdl"
     if raw is not None:
         path.write_bytes(raw)
-    with pytest.raises(OperatorError, match=message):
-        load_operator(str(path), KNOWN)
+    with pytest.raises(ExtrasError, match=message):
+        load_extras(str(path), KNOWN)
 
 
 def test_the_platforms_process_loads_none_of_the_modes_libraries() -> None:
--- a/tests/extproc/test_services.py
+++ b/tests/extproc/test_services.py
@@ -22,7 +22,7 @@
 from martentide_lab.servers import DRAINING, Board, SessionServer
 
 LIMIT = 40.0  # s for a whole scene
-OPERATOR = 'external-processor {{\n listen "127.0.0.1:0"\n {}\n}}\n'
+EXTRAS = 'external-processor {{\n listen "127.0.0.1:0"\n {}\n}}\n'
 
 
 class Scene:
@@ -47,7 +47,7 @@
         for server in site:
             await server.start()
         await board.start()
-        async with asyncio.timeout(LIMIT), Proxy(board, site, OPERATOR.format(more)) as proxy:
+        async with asyncio.timeout(LIMIT), Proxy(board, site, EXTRAS.format(more)) as proxy:
             await scene(Scene(proxy, site, board))
         for server in site:
             await server.stop()
@@ -340,7 +340,7 @@
             one.proxy.write("external-processor {")
             one.proxy.send(signal.SIGHUP)
             assert "line 1" in await one.proxy.logged("reload-failed")
-            one.proxy.write(OPERATOR.format('limits pending-each=1\n services "decisions"'))
+            one.proxy.write(EXTRAS.format('limits pending-each=1\n services "decisions"'))
             one.proxy.send(signal.SIGHUP)
             line = await one.proxy.logged("reloaded")
             assert "restart_needed_for=external-processor.listen" not in line
--- a/tests/extproc/test_wire.py
+++ b/tests/extproc/test_wire.py
@@ -27,7 +27,7 @@
 )
 from martentide.extproc.wire import read_front, read_proxy, write_front, write_proxy
 from martentide.interface import Ending, Report
-from martentide.operator import HeadersNode, StatusNode
+from martentide.extras import HeadersNode, StatusNode
 
 CAME = 50_000.0
 
--- a/tests/learned/test_store.py
+++ b/tests/learned/test_store.py
@@ -218,13 +218,13 @@
 # ---- the real program -------------------------------------------------------------------------------------
 
 
-def program(scene: Callable[[Proxy, list[SessionServer]], Awaitable[None]], operator: str) -> None:
+def program(scene: Callable[[Proxy, list[SessionServer]], Awaitable[None]], extras: str) -> None:
     async def run() -> None:
         servers, board = [SessionServer(number) for number in range(2)], Board()
         for server in servers:
             await server.start()
         await board.start()
-        async with asyncio.timeout(40), Proxy(board, servers, operator) as proxy:
+        async with asyncio.timeout(40), Proxy(board, servers, extras) as proxy:
             await scene(proxy, servers)
         for server in servers:
             await server.stop()
