--- /dev/null
+++ b/martentide/codec/control.py
@@ -0,0 +1,95 @@
+"""The operator's calls (HTTP/1.1, by h11): bytes in, one request or one refusal out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from urllib.parse import urlsplit
+
+import h11
+
+from martentide.lifecycle.calls import METHODS
+
+MOST_HEAD = 8 * 1024  # bytes of request line and headers
+MOST_BODY = 4 * 1024  # bytes of a body, which means nothing here
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A call that can be carried out: one of the paths above."""
+
+    path: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A call that can't; ``allow``: the methods that the path takes, where the method was at fault."""
+
+    status: int
+    text: str
+    allow: tuple[str, ...] = ()
+
+
+class ControlCall:
+    """One connection, which carries one call."""
+
+    def __init__(self) -> None:
+        self.connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
+        self.request: h11.Request | None = None
+        self.body = 0
+
+    def feed(self, data: bytes) -> Request | Refused | None:
+        """What the bytes up to now amount to, None while the call is not whole; no data: the end came."""
+        try:
+            self.connection.receive_data(data)
+            return self._next()
+        except h11.RemoteProtocolError as error:
+            return Refused(error.error_status_hint, str(error))
+
+    def _next(self) -> Request | Refused | None:
+        while True:
+            event = self.connection.next_event()
+            match event:
+                case h11.Request():
+                    self.request = event
+                    if self.connection.they_are_waiting_for_100_continue:
+                        return self._route(event)  # the final answer spares the body
+                case h11.Data():
+                    self.body += len(event.data)
+                    if self.body > MOST_BODY:
+                        return Refused(413, f"a body of more than {MOST_BODY} bytes")
+                case h11.EndOfMessage() if self.request is not None:
+                    return self._route(self.request)
+                case h11.ConnectionClosed():
+                    return Refused(400, "no call came")
+                case _:
+                    return None
+
+    def _route(self, request: h11.Request) -> Request | Refused:
+        try:
+            path = urlsplit(request.target.decode("ascii")).path
+        except ValueError:
+            return Refused(400, "the target can't be read")
+        method = request.method.decode("ascii")
+        if path not in METHODS:
+            return Refused(404, f"no such call; there are {', '.join(METHODS)}")
+        if method not in METHODS[path]:
+            return Refused(405, f"{path} takes {' or '.join(METHODS[path])}", METHODS[path])
+        return Request(path)
+
+    def answer(self, status: int, text: str, allow: tuple[str, ...] = ()) -> bytes:
+        """The whole answer, after which the connection is closed."""
+        body = f"{text}\n".encode()
+        headers = [
+            ("Content-Type", "text/plain; charset=utf-8"),
+            ("Content-Length", str(len(body))),
+            ("Connection", "close"),
+        ]
+        if allow:
+            headers.append(("Allow", ", ".join(allow)))
+        if self.connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return b""  # nothing came, and nobody is there any more
+        head = self.connection.send(h11.Response(status_code=status, headers=headers)) or b""
+        try:
+            return head + (self.connection.send(h11.Data(data=body)) or b"")
+        except h11.LocalProtocolError:  # an answer to HEAD has no body
+            return head
--- a/martentide/extras.py
+++ b/martentide/extras.py
@@ -154,6 +154,11 @@
     external_processor: ExternalProcessor | None = None
     learned_state: LearnedState | None = None
 
+    @property
+    def dials(self) -> bool:
+        """Whether the program dials session servers itself."""
+        return self.external_processor is None or self.external_processor.own_links
+
     def summary(self) -> str:
         on = []
         if (front := self.external_processor) is not None:
--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -24,6 +24,8 @@
 PROBATION_AGAIN = 0.25  # s until the next look while it waits for an answer or a release
 STALL = 1.5  # s in which a message begun by a caller must be whole
 ACCEPTED_AT_A_TIME = 32  # connections that are accepted before the door looks at them
+MUTE_GRACE = 1.0  # s in which a new connection may bring its first byte before a drain closes it
+REST_AGAIN = 0.02  # s until the next look at a link that is to be closed and is not at rest
 WAITING = 1024  # connections that wait in the system to be accepted
 FIRST_WINDOW = 64  # set-ups that may be open on a link, besides one for each that has stood
 OWED_FOR = 30.0  # s such a release is kept
@@ -90,7 +92,7 @@
                 if isinstance(item, Received):
                     item.link.close(Reason.INTERNAL)
             if isinstance(item, Received):
-                item.link.credit.release()
+                item.link.taken()
             self.door.calls(self.host, bool(self.records or self.owed))
             if not (self.links or self.records or self.owed) and self.mailbox.empty():
                 self.leave(
@@ -147,6 +149,7 @@
                 link.write(write_message(Type.RELEASE_HEARD, message.call))
                 record = self.records.pop(message.call, None)
                 if record is not None:
+                    self._over(record)
                     self.tell(ReleaseIn(message.call) if record.stands else GiveUp(message.call))
                     if not record.stands and record.link is not None:
                         self.door.ended(record.link, answered=False)
@@ -154,7 +157,8 @@
                         self.door.of_use(link)
             case Type.TEST:
                 self.door.of_use(link)
-                link.write(write_message(Type.TEST_RESULT, message.call, {Code.CAUSE: b"\x01"}))
+                passed = b"\x01" if self.door.ready() else b"\0"
+                link.write(write_message(Type.TEST_RESULT, message.call, {Code.CAUSE: passed}))
 
     def _set_up(self, link: Link, message: Message, at: float) -> None:
         known = self.records.get(message.call)
@@ -195,6 +199,10 @@
         self.door.opened(link)
         self.tell(offer)
 
+    def _over(self, record: Record) -> None:
+        if record.stands and record.link is not None:
+            self.door.stands(record.link, -1)
+
     # ---- what the decider says --------------------------------------------------------------------------
 
     def answer(self, call: bytes, description: bytes) -> None:
@@ -225,8 +233,10 @@
         if item.stands and link is not None:
             record.stands = True
             self.links[link] += 1
+            self.door.stands(link, 1)
         else:
             del self.records[item.call]
+            self._over(record)
         if link is None and record.stands and not item.stands:
             link = next((link for link in reversed(self.links) if link.alive), None)
         if link is not None:
@@ -258,11 +268,16 @@
         self.open: dict[Link, int] = {}  # set-ups that are open, by link
         self.host: dict[Link, str] = {}
         self.calling: set[str] = set()  # parties that have calls
+        self.standing: dict[Link, int] = {}  # calls that stand and came on the link
+        self.leaving = False
+        self.ready: Callable[[], bool] = lambda: True  # what a test of the front is told
 
     def arrived(self, link: Link, host: str) -> None:
-        self.open[link], self.host[link] = 0, host
+        self.open[link], self.standing[link], self.host[link] = 0, 0, host
         self.mute[link] = None
         self.loop.call_later(PROBATION, self._probation_over, link)
+        if self.leaving:
+            self.loop.call_later(MUTE_GRACE, self._leave, link)
         if len(self.open) > self.most:
             last = self._dearest(link)
             self.left(last)
@@ -283,6 +298,7 @@
 
     def left(self, link: Link) -> None:
         self.open.pop(link, None)
+        self.standing.pop(link, None)
         self.host.pop(link, None)
         self.mute.pop(link, None)
         self.resting.pop(link, None)
@@ -300,14 +316,46 @@
             if answered:
                 self.of_use(link)
             elif self.open[link] == 0 and link not in self.mute:
-                self.resting[link] = None
+                self._rests(link)
+
+    def stands(self, link: Link, by: int) -> None:
+        """One call more (or fewer) stands that came on the link."""
+        if link in self.standing:
+            self.standing[link] += by
+            if self.leaving and self.standing[link] == 0:
+                self.loop.call_soon(self._leave, link)
 
     def of_use(self, link: Link) -> None:
         """Something on the link was answered."""
         self.mute.pop(link, None)
         self.resting.pop(link, None)
         if self.open.get(link) == 0:
-            self.resting[link] = None
+            self._rests(link)
+
+    def _rests(self, link: Link) -> None:
+        self.resting[link] = None
+        if self.leaving:
+            self.loop.call_soon(self._leave, link)
+
+    def leave(self, on: bool) -> None:
+        """Close links as they come to rest, from now on (or keep them again): a drain."""
+        self.leaving = on
+        if on:
+            for link in self.open:
+                self.loop.call_soon(self._leave, link)
+
+    def _leave(self, link: Link) -> None:
+        """Close the link if it is at rest. One that carries a set-up or a call that stands is looked at when
+        that ends, since its caller hears of it there; one on which something has begun, or that is too young
+        to have brought anything, a little later."""
+        if not self.leaving or self.open.get(link, 1) or self.standing.get(link, 1):
+            return
+        young = MUTE_GRACE - (self.loop.time() - link.opened_at) if link in self.mute else 0.0
+        if young > 0 or not link.at_rest:
+            self.loop.call_later(max(young, REST_AGAIN), self._leave, link)
+            return
+        self.left(link)
+        link.close(Reason.DRAINED)
 
     def _probation_over(self, link: Link) -> None:
         if link not in self.mute:
--- a/martentide/net/config.py
+++ b/martentide/net/config.py
@@ -17,6 +17,9 @@
     from martentide.extras import Extras
 
 
+OVERRIDES = (("PROXY_LISTEN", "listen"), ("PROXY_NAME", "name"), ("PROXY_OPERATOR", "operator"))
+
+
 class ConfigError(Exception):
     """A configuration that the program cannot start with; its text is one line."""
 
@@ -45,6 +48,7 @@
     zones: tuple[str, ...]
     connect_timeout: float
     max_open: int
+    operator: Address | None = None  # where the operator's calls come in; None: nowhere
     extras: Extras | None = None  # what the extras file turns on
 
 
@@ -55,9 +59,7 @@
     return Address(host, int(port))
 
 
-def load_config(
-    environment: Mapping[str, str], path: str | None = None, extras: str | None = None
-) -> Config:
+def load_config(environment: Mapping[str, str], path: str | None = None, extras: str | None = None) -> Config:
     """The configuration file named by ``path`` or PROXY_CONFIG; the other variables go before its text.
 
     The extras file is the one named by ``extras`` or MARTENTIDE_EXTRAS; without either there is none.
@@ -73,7 +75,7 @@
         raise ConfigError(f"{path}: not JSON: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: not a JSON object")
-    for variable, key in (("PROXY_LISTEN", "listen"), ("PROXY_NAME", "name")):
+    for variable, key in OVERRIDES:
         if environment.get(variable):
             raw[key] = environment[variable]
     config = read_config(raw)
@@ -97,6 +99,7 @@
             name=str(raw["name"]),
             listen=read_address(raw["listen"], "listen"),
             board=read_address(raw["board"], "board"),
+            operator=read_address(raw["operator"], "operator") if raw.get("operator") else None,
             seed=int(str(raw["seed"]), 16),
             sockets=int(raw["limits"]["sockets"]),
             known_number=number,
--- a/martentide/net/endings.py
+++ b/martentide/net/endings.py
@@ -31,6 +31,9 @@
     SHUTDOWN = "shutdown"
     IO_ERROR = "io-error"
     INTERNAL = "internal"
+    DRAINED = "drained"
+    ANSWERED = "answered"
+    TURNED_DOWN = "turned-down"
     DIAL_REFUSED = "dial-refused"
     DIAL_TIMEOUT = "dial-timeout"
     DIAL_ERROR = "dial-error"
@@ -43,11 +46,13 @@
     Reason.MOVED,
     Reason.SHUTDOWN,
     Reason.TAKEN_OVER,
+    Reason.DRAINED,
+    Reason.ANSWERED,
 )
 
 
 def log_ended(role: str, peer: str, reason: Reason, detail: str = "") -> None:
-    """The one line that an ended connection leaves; ``role`` is caller, server, board or front."""
+    """The one line that an ended connection leaves; ``role`` is caller, server, board, front or operator."""
     write = LOG.info if reason in QUIET else LOG.warning
     more = {"detail": repr(detail)} if detail else {}
     write("connection-ended", role=role, peer=peer, reason=reason.value, **more)
--- a/martentide/net/links.py
+++ b/martentide/net/links.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -58,6 +59,8 @@
         self.opened_at = self.heard_at = self.loop.time()
         self.ended_by: Reason | None = None
         self.credit = asyncio.Semaphore(UNREAD)
+        self.begun = bytearray()  # of a message that is not whole yet
+        self.waiting = 0  # messages that were read and that the actor has not taken yet
         self.watch: asyncio.TimerHandle | None = None
         self.task = self.loop.create_task(self._pump(), name=f"link {role} {peer}")
 
@@ -78,7 +81,7 @@
 
     async def _pump(self) -> None:
         reason, detail = Reason.INTERNAL, ""
-        begun, begun_at = bytearray(), None
+        begun, begun_at = self.begun, None
         try:
             while data := await self._read(begun_at):
                 at, now = unix_ms(), self.loop.time()
@@ -86,6 +89,7 @@
                 for body in split(begun):
                     self.heard_at, begun_at = now, None
                     message = read_message(body)
+                    self.waiting += 1
                     await self.credit.acquire()
                     self.post(Received(self, message, at))
                 begun_at = (begun_at or now) if begun else None
@@ -114,6 +118,22 @@
     def alive(self) -> bool:
         return self.ended_by is None
 
+    def taken(self) -> None:
+        """The actor has taken one message."""
+        self.waiting -= 1
+        self.credit.release()
+
+    @property
+    def at_rest(self) -> bool:
+        """Whether all that came was taken, down to the bytes that lie unread in the system: a link may be
+        closed then without anything of the peer's being lost."""
+        buffered: bytearray = self.reader._buffer  # type: ignore[attr-defined]  # nothing public tells of it
+        if self.begun or self.waiting or buffered:
+            return False
+        poll = select.poll()
+        poll.register(self.writer.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
     @property
     def blocked(self) -> bool:
         """Whether bytes wait here because the peer takes none."""
--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -135,7 +135,7 @@
             except Exception:
                 LOG.exception("internal-error", server=self.name, item=type(item).__name__)
             if isinstance(item, Received):
-                item.link.credit.release()
+                item.link.taken()
         self.quiet.cancel()
         while not self.mailbox.empty():  # what crossed the word that the server is gone still gets its end
             late = self.mailbox.get_nowait()
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -4,13 +4,17 @@
 
 import asyncio
 import dataclasses
+import itertools
 import signal
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from martentide.carriage import Ended, Order, Withdraw
 from martentide.codec.board import Listed, Notice
-from martentide.interface import Ending, ListKind, ProbeEnded, ServerState
+from martentide.interface import Ending, ListKind, ProbeEnded, ServerState, Settings
+from martentide.lifecycle import machine
+from martentide.lifecycle.calls import OUT_OF_SERVICE, READY
+from martentide.lifecycle.machine import Machine
 from martentide.net.board import Board, Moved
 from martentide.net.callers import Callers
 from martentide.net.config import Config, ConfigError
@@ -20,11 +24,12 @@
 from martentide.rules import Controller
 
 if TYPE_CHECKING:
+    from martentide.net.control import Control
     from martentide.net.extproc.server import ExternalProcessorServer
     from martentide.net.learned import Store
 
 CALLERS_SHARE = 0.5  # of the descriptors: callers hold a third at most, old connections may overlap new ones
-LATE_ARRIVALS = 0.9  # s after SIGTERM in which set-ups still come
+MOST_CALLS = 24  # descriptors set aside for the operator's calls
 
 
 def fold(notices: tuple[Notice, ...]) -> Notice:
@@ -68,7 +73,7 @@
         log_event("reload-failed", detail=repr(str(error)))
         return config
     # What an instance is born with (name, address, seed, settings) is the same until its next start.
-    fixed = ("name", "listen", "settings", "zones")
+    fixed = ("name", "listen", "operator", "settings", "zones")
     kept = [key for key in fixed if getattr(new, key) != getattr(config, key)]
     part = new.extras.external_processor if new.extras is not None else None
     if processor is not None and part is not None:
@@ -86,17 +91,109 @@
     return dataclasses.replace(config, board=new.board)
 
 
+class Service:
+    """The actor of the service's state: feeds the machine and carries out what it asks for."""
+
+    def __init__(
+        self,
+        config: Config,
+        read: Callable[[], Config],
+        decider: Decider,
+        board: Board,
+        callers: Callers,
+        store: Store | None,
+        processor: ExternalProcessorServer | None,
+    ) -> None:
+        self.config, self.read = config, read
+        self.decider, self.board, self.callers = decider, board, callers
+        self.store, self.processor = store, processor
+        self.machine = Machine()
+        callers.door.ready = lambda: self.machine.ready
+        self.loop = asyncio.get_running_loop()
+        self.mailbox: asyncio.Queue[machine.Event] = asyncio.Queue()
+        self.asked: dict[int, asyncio.Future[tuple[int, str]]] = {}
+        self.numbers = itertools.count(1)
+        self.over: asyncio.Task[None] | None = None
+
+    def post(self, event: machine.Event) -> None:
+        self.mailbox.put_nowait(event)
+
+    async def ask(self, path: str) -> tuple[int, str]:
+        """The operator's call of that path: its status and text."""
+        if path == READY:
+            return (200, "ready") if self.machine.ready else (503, self.machine.phase.value)
+        number = next(self.numbers)
+        answer: asyncio.Future[tuple[int, str]] = self.loop.create_future()
+        self.asked[number] = answer
+        self.post(machine.OutOfService(number) if path == OUT_OF_SERVICE else machine.InService(number))
+        try:
+            return await answer
+        finally:
+            del self.asked[number]
+
+    async def run(self) -> None:
+        """Until the machine has ended."""
+        while self.machine.phase is not machine.Phase.ENDED:
+            event = await self.mailbox.get()
+            for action in self.machine.handle(event):
+                try:
+                    self._act(action)
+                except Exception:  # one part that fails must not keep the others from ending in good order
+                    LOG.exception("internal-error", action=type(action).__name__)
+
+    def _act(self, action: machine.Action) -> None:
+        match action:
+            case machine.Answer(call, status, text):
+                if (asked := self.asked.get(call)) is not None and not asked.done():
+                    asked.set_result((status, text))
+            case machine.LeaveLinks(on):
+                self.callers.door.leave(on)
+            case machine.RefuseSetUps(on):
+                self.decider.closing = on
+            case machine.StopListening():
+                self.callers.close()
+            case machine.SetDue(due, delay):
+                self.loop.call_later(delay, self.post, due)
+            case machine.TellWhenOver():
+                self.over = self.loop.create_task(self._tell_when_over(), name="all over")
+            case machine.Reload():
+                self.config = reload(self.config, self.read, self.board, self.processor, self.store)
+            case machine.CloseFronts():
+                if self.processor is not None:
+                    self.processor.closing()  # fronts are told on their streams: no time to learn of it
+            case machine.Tell(phase, by):
+                log_event("service-state", state=phase.value, by=by, calls=len(self.decider.calls))
+
+    async def _tell_when_over(self) -> None:
+        await self.decider.idle.wait()
+        if self.processor is not None:
+            await self.processor.stop()
+        self.post(machine.AllOver())
+
+
+def turned_on(
+    config: Config, settings: Settings, decider: Decider
+) -> tuple[Store | None, ExternalProcessorServer | None]:
+    """What the extras file turns on; the libraries come with it."""
+    store: Store | None = None
+    processor: ExternalProcessorServer | None = None
+    if config.extras is not None and (state := config.extras.learned_state) is not None:
+        from martentide.net.learned import Store
+
+        store = Store(state.folder, state.pace(), config.settings, decider, config.seed)
+    if config.extras is not None and (part := config.extras.external_processor) is not None:
+        from martentide.net.extproc.server import ExternalProcessorServer
+
+        processor = ExternalProcessorServer(part, settings, decider, config.seed)
+    return store, processor
+
+
 async def serve(config: Config, read: Callable[[], Config]) -> None:
     """Run until SIGTERM (or SIGINT) and until all that was taken by then is answered and over; ``read`` reads
     the configuration anew."""
     LOG.debug("settings", settings=config.settings, zones=config.zones, known=config.known)
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-
-    part = config.extras.external_processor if config.extras is not None else None
-    dials = part is None or part.own_links
+    dials = config.extras is None or config.extras.dials
     settings = config.settings if dials else dataclasses.replace(config.settings, may_probe=False)
 
     def start_server(listed: Listed, decider: Decider) -> ServerActor:
@@ -105,28 +202,27 @@
         return Server(listed, config.connect_timeout, decider.post)
 
     decider = Decider(Controller(settings, config.seed), start_server, config.max_open)
-    decider.follow(fold(config.known), ListKind.REMEMBERED)
     board = Board(config.board, config.known_number, config.zones, config.connect_timeout, decider.post)
     callers = Callers(int(config.sockets * CALLERS_SHARE), decider.post)
 
-    store: Store | None = None
-    if config.extras is not None and (state := config.extras.learned_state) is not None:
-        from martentide.net.learned import Store
-
-        store = Store(state.folder, state.pace(), config.settings, decider, config.seed)
+    store, processor = turned_on(config, settings, decider)
+    service = Service(config, read, decider, board, callers, store, processor)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, service.post, machine.Terminate())
+    loop.add_signal_handler(signal.SIGHUP, service.post, machine.HangUp())
+    tasks = [asyncio.create_task(service.run(), name="service")]
+    control: Control | None = None
+    if config.operator is not None:
+        from martentide.net.control import Control  # h11 comes with it
+
+        control = Control(service.ask, min(MOST_CALLS, config.sockets // 8))
+        await control.listen(config.operator)
+        for host, port in control.addresses():
+            log_event("operator-listening", address=f"{host}:{port}")
+    decider.follow(fold(config.known), ListKind.REMEMBERED)
+    if store is not None:
         await store.start()
-    processor: ExternalProcessorServer | None = None
-    if part is not None:
-        from martentide.net.extproc.server import ExternalProcessorServer  # its libraries come with it
-
-        processor = ExternalProcessorServer(part, settings, decider, config.seed)
-
-    def hang_up() -> None:
-        nonlocal config
-        config = reload(config, read, board, processor, store)
-
-    loop.add_signal_handler(signal.SIGHUP, hang_up)
-    tasks = [
+    tasks += [
         asyncio.create_task(decider.run(), name="decider"),
         asyncio.create_task(board.run(), name="list"),
     ]
@@ -137,18 +233,10 @@
     await callers.listen(config.listen)
     for host, port in callers.addresses():
         log_event("serving", name=config.name, address=f"{host}:{port}", servers=len(decider.servers))
-    await stop.wait()
-    log_event("stopping", calls=len(decider.calls))
-    if processor is not None:
-        processor.closing()  # fronts are told on their streams, and need no time to learn of it
-    # Callers do not know yet: what still comes on new and open connections is served like any other call.
-    await asyncio.sleep(LATE_ARRIVALS)
-    callers.close()
-    decider.closing = True
-    await decider.idle.wait()
-    if processor is not None:
-        await processor.stop()
-    await asyncio.sleep(0.05)  # the last answers leave the parties' mailboxes
+    service.post(machine.Listening())
+    await tasks[0]
+    if control is not None:
+        control.close()
     for task in tasks:
         task.cancel()
     if store is not None:
--- a/tests/extproc/test_wire.py
+++ b/tests/extproc/test_wire.py
@@ -26,8 +26,8 @@
     Withdrawn,
 )
 from martentide.extproc.wire import read_front, read_proxy, write_front, write_proxy
-from martentide.interface import Ending, Report
 from martentide.extras import HeadersNode, StatusNode
+from martentide.interface import Ending, Report
 
 CAME = 50_000.0
 
--- /dev/null
+++ b/tests/lifecycle/test_machine.py
@@ -0,0 +1,133 @@
+"""The machine of the service's state, driven in every order that hypothesis finds."""
+
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from martentide.lifecycle.machine import (
+    AllOver,
+    Answer,
+    Due,
+    HangUp,
+    InService,
+    LeaveLinks,
+    Listening,
+    Machine,
+    OutOfService,
+    Phase,
+    RefuseSetUps,
+    Reload,
+    SetDue,
+    Step,
+    StopListening,
+    Terminate,
+)
+
+
+class Orders(RuleBasedStateMachine):
+    """The host is played: it keeps what it was last told, and the timers it was asked to set."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.machine = Machine()
+        self.leaving = self.refusing = self.stopped = False
+        self.timers: list[Due] = []
+        self.calls = 0
+
+    def feed(self, event: object) -> list[object]:
+        actions: list[object] = list(self.machine.handle(event))  # type: ignore[arg-type]
+        for action in actions:
+            match action:
+                case LeaveLinks(on):
+                    self.leaving = on
+                case RefuseSetUps(on):
+                    self.refusing = on
+                case StopListening():
+                    self.stopped = True
+                case SetDue(due, delay):
+                    assert delay >= 0
+                    self.timers.append(due)
+        return actions
+
+    @rule()
+    def listening(self) -> None:
+        self.feed(Listening())
+
+    @rule(out=st.booleans())
+    def operator(self, out: bool) -> None:
+        self.calls += 1
+        before = self.machine.phase
+        actions = self.feed(OutOfService(self.calls) if out else InService(self.calls))
+        answers = [action for action in actions if isinstance(action, Answer)]
+        if before is Phase.ENDED:
+            assert not answers
+            return
+        assert [answer.call for answer in answers] == [self.calls]
+        assert answers[0].status == (409 if before is Phase.STOPPING else 200)
+        if before is not Phase.STOPPING:
+            assert self.machine.ready == (not out and self.machine.listening)
+
+    @rule()
+    def terminate(self) -> None:
+        self.feed(Terminate())
+        assert self.machine.phase in (Phase.STOPPING, Phase.ENDED)
+
+    @rule()
+    def hang_up(self) -> None:
+        before = self.machine.phase
+        assert self.feed(HangUp()) == ([] if before is Phase.ENDED else [Reload()])
+        assert self.machine.phase is before
+
+    @precondition(lambda self: self.timers)
+    @rule(data=st.data())
+    def due(self, data: st.DataObject) -> None:
+        timer = data.draw(st.sampled_from(self.timers))
+        self.timers.remove(timer)
+        stale = timer.epoch != self.machine.epoch
+        actions = self.feed(timer)
+        assert not (stale and actions)
+
+    @rule()
+    def all_over(self) -> None:
+        self.feed(AllOver())
+
+    @invariant()
+    def ready_only_in_service(self) -> None:
+        assert self.machine.ready == (self.machine.phase is Phase.IN_SERVICE)
+        if self.machine.ready:
+            assert self.machine.listening and not (self.leaving or self.refusing or self.stopped)
+
+    @invariant()
+    def a_drain_and_a_stop_end(self) -> None:
+        """What is still to come leads on from every phase that must not last."""
+        steps = {timer.step for timer in self.timers if timer.epoch == self.machine.epoch}
+        if self.machine.phase is Phase.DRAINING:
+            assert self.leaving or Step.LEAVE in steps
+            assert self.refusing or Step.SETTLE in steps
+        if self.machine.phase is Phase.STOPPING and not self.stopped:
+            assert Step.LATE_OVER in steps
+
+
+Orders.TestCase.settings = settings(max_examples=150, stateful_step_count=30, deadline=None)
+TestOrders = Orders.TestCase
+
+
+def test_a_stop_goes_its_way_to_the_end() -> None:
+    machine = Machine()
+    machine.handle(Listening())
+    (stop,) = [action.due for action in machine.handle(Terminate()) if isinstance(action, SetDue)]
+    assert StopListening() in machine.handle(stop)
+    (last,) = [action.due for action in machine.handle(AllOver()) if isinstance(action, SetDue)]
+    machine.handle(last)
+    assert machine.phase is Phase.ENDED
+
+
+def test_out_of_service_while_starting_holds_once_callers_could_be_served() -> None:
+    machine = Machine()
+    machine.handle(OutOfService(1))
+    machine.handle(Listening())
+    assert not machine.ready
+    machine.handle(InService(2))
+    assert machine.ready
--- a/tests/net/support.py
+++ b/tests/net/support.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import os
 import queue
@@ -151,7 +152,7 @@
 class Program:
     """The program under test, with its board and as many session servers as the test scripts."""
 
-    def __init__(self, folder: Path, servers: int = 1, **limits: Any) -> None:
+    def __init__(self, folder: Path, servers: int = 1, operated: bool = False, **limits: Any) -> None:
         self.servers = [Listener() for _ in range(servers)]
         self.board = Listener()
         settings = {**SETTINGS, "limits": {**SETTINGS["limits"], **limits}}
@@ -165,6 +166,7 @@
                     "seed": "8c1f30d27a5be964",
                     "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 64},
                     "board": f"127.0.0.1:{self.board.port}",
+                    **({"operator": "127.0.0.1:0"} if operated else {}),
                     "known": {
                         "rev": 1,
                         "notices": [{"rev": 1, "pool": {"index": 1, "snapshot": True, "endpoints": known}}],
@@ -183,6 +185,8 @@
         self.lines: queue.Queue[str] = queue.Queue()
         self.log: list[str] = []
         threading.Thread(target=self._read_log, daemon=True).start()
+        if operated:
+            self.operator = int(self.logged(r"operator-listening address=127\.0\.0\.1:(\d+)").group(1))
         self.port = int(self.logged(r"serving .*address=127\.0\.0\.1:(\d+)").group(1))
 
     def _read_log(self) -> None:
@@ -206,6 +210,15 @@
     def caller(self, host: str = "127.0.0.1") -> Wire:
         return Wire(socket.create_connection(("127.0.0.1", self.port), LIMIT, (host, 0)))
 
+    def call(self, method: str, path: str) -> int:
+        """An operator's call: the status of its answer."""
+        connection = http.client.HTTPConnection("127.0.0.1", self.operator, timeout=LIMIT)
+        try:
+            connection.request(method, path)
+            return connection.getresponse().status
+        finally:
+            connection.close()
+
     def reload(self, text: str) -> None:
         self.config.write_text(text)
         self.process.send_signal(signal.SIGHUP)
--- /dev/null
+++ b/tests/net/test_operating.py
@@ -0,0 +1,115 @@
+"""What the operators' staff do with the started program, on real sockets: one test for each rule."""
+
+from __future__ import annotations
+
+import socket
+import time
+from pathlib import Path
+
+from martentide.codec.messages import Code, Type
+from tests.net.support import LIMIT, Program, Wire
+from tests.net.test_rules_on_sockets import A, B, stand
+
+READY, OUT, IN = "/control/ready", "/control/out-of-service", "/control/in-service"
+
+
+def passes(program: Program) -> bool:
+    """What the front's test of the program says."""
+    front = program.caller()
+    front.send(Type.TEST, A, {Code.CAUSE: b"\0"})
+    passed = front.receive(Type.TEST_RESULT).cause() == 1
+    front.sock.close()
+    return passed
+
+
+def test_a_drain_ends_links_as_they_come_to_rest_and_none_that_has_a_call(tmp_path: Path) -> None:
+    with Program(tmp_path, operated=True) as program:
+        idle, caller, open_one = program.caller(), program.caller("127.0.0.2"), program.caller("127.0.0.3")
+        server = program.servers[0].accept()
+        assert passes(program) and program.call("GET", READY) == 200
+        stand(caller, server)
+        open_one.set_up(B)
+        server.receive(Type.SET_UP)
+        began = time.monotonic()
+        assert program.call("POST", OUT) == 200
+        assert program.call("GET", READY) == 503 and not passes(program)
+        late = program.caller("127.0.0.4")  # the front sends for a moment more
+        stand(late, server, bytes(7) + b"\1")
+        assert idle.closed() and time.monotonic() - began < 4.0
+        server.send(Type.ANSWER, B, {Code.DESCRIPTION: b"x"})
+        assert open_one.receive().type == Type.ANSWER
+        server.release(B, 16)
+        assert open_one.receive().type == Type.RELEASE and open_one.closed()
+        server.release(A, 16)  # only now: the call stood all the time, and its caller hears of its end
+        assert caller.receive().type == Type.RELEASE and caller.closed()
+        assert program.call("POST", OUT) == 200  # as it is already
+
+
+def test_in_a_drain_that_has_settled_set_ups_are_refused_at_once(tmp_path: Path) -> None:
+    with Program(tmp_path, operated=True) as program:
+        caller, server = program.caller(), program.servers[0].accept()
+        stand(caller, server)
+        program.call("POST", OUT)
+        time.sleep(2.2)  # set-ups taken now would be young at 4 s
+        caller.set_up(B)
+        assert (refused := caller.receive()).type == Type.RELEASE and refused.cause() == 42
+
+
+def test_in_service_ends_a_drain_and_cancels_what_it_had_in_mind(tmp_path: Path) -> None:
+    with Program(tmp_path, operated=True) as program:
+        caller, server = program.caller(), program.servers[0].accept()
+        caller.send(Type.TEST, A, {Code.CAUSE: b"\0"})  # no longer one that has brought nothing
+        caller.receive(Type.TEST_RESULT)
+        program.call("POST", OUT)
+        assert program.call("POST", IN) == 200 and program.call("GET", READY) == 200 and passes(program)
+        time.sleep(2.2)  # past every step of the drain that was ended
+        stand(caller, server)
+
+
+def test_while_stopping_the_operator_is_told_no(tmp_path: Path) -> None:
+    with Program(tmp_path, operated=True) as program:
+        caller, server = program.caller(), program.servers[0].accept()
+        stand(caller, server)
+        program.terminate()
+        program.logged("state=stopping")
+        assert program.call("GET", READY) == 503
+        assert program.call("POST", OUT) == 409 and program.call("POST", IN) == 409
+        server.release(A, 16)
+        assert caller.receive().type == Type.RELEASE
+        assert program.process.wait(LIMIT) == 0
+
+
+def test_half_calls_and_silent_ones_neither_delay_nor_displace_whole_ones(tmp_path: Path) -> None:
+    with Program(tmp_path, operated=True) as program:
+        half = []
+        for at in range(100):  # more than there are descriptors for
+            sock = socket.create_connection(("127.0.0.1", program.operator), LIMIT)
+            sock.sendall(b"POST /control/out-of-service HTT" if at % 2 else b"")
+            half.append(sock)
+            if at % 20 == 0:
+                began = time.monotonic()
+                assert program.call("GET", READY) == 200
+                assert time.monotonic() - began < 1.0
+        last = Wire(half[-1])
+        assert last.exactly(12) == b"HTTP/1.1 408"  # half a call has its answer too
+        assert program.call("GET", READY) == 200
+
+
+def test_a_second_call_behind_the_first_harms_nothing(tmp_path: Path) -> None:
+    with Program(tmp_path, operated=True) as program:
+        sock = socket.create_connection(("127.0.0.1", program.operator), LIMIT)
+        sock.sendall(
+            b"GET /control/ready HTTP/1.1\r\nHost: a\r\n\r\nPOST /control/out-of-service HTTP/1.1\r\n\r\n"
+        )
+        answer = b"".join(iter(lambda: sock.recv(4096), b""))
+        assert answer.startswith(b"HTTP/1.1 200 ") and answer.count(b"HTTP/1.1") == 1
+        reset = socket.create_connection(("127.0.0.1", program.operator), LIMIT)
+        Wire(reset).reset()
+        assert program.call("GET", READY) == 200
+
+
+def test_without_an_address_there_is_no_operators_listener(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        caller, server = program.caller(), program.servers[0].accept()
+        stand(caller, server)
+        assert not [line for line in program.log if "operator" in line]
--- a/tests/net/test_rules_on_sockets.py
+++ b/tests/net/test_rules_on_sockets.py
@@ -365,7 +365,7 @@
         early, server = program.caller(), program.servers[0].accept()
         stand(early, server)
         program.terminate()
-        program.logged("stopping calls=1")
+        program.logged("state=stopping .*calls=1")
         late = program.caller()  # a new connection, after the signal
         stand(late, server, B)
         server.release(B, 16)
