Upgrade: the new process takes the listening socket, then the callers' connections

Change: a meeting place in $TMPDIR, where the process in service hands its listening socket to its successor, and at SIGTERM its callers' connections with half-read messages; calls keep their owner, which speaks through the new process. Pure: frames (martentide/handover), steps of both sides in the one machine of the service.

--- a/martentide/cli.py
+++ b/martentide/cli.py
@@ -61,7 +61,7 @@
     read = load_or_exit(config, extras)
     log.configure(log_level, log_format)
     try:
-        asyncio.run(serve(read, lambda: load_config(os.environ, config, extras)))
+        asyncio.run(serve(read, lambda: load_config(os.environ, config, extras), os.environ))
     except OSError as error:
         click.echo(f"martentide: {read.listen}: {error.strerror or error}", err=True)
         sys.exit(CANNOT_LISTEN)
--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -14,6 +14,7 @@
 from martentide.codec import CodecError
 from martentide.codec.figures import read_first_choice
 from martentide.codec.messages import MOST_BYTES, Cause, Code, Message, Type, write_message, write_release
+from martentide.handover.wire import MOST_RECORDS, Left, MovedCalls, MovedLink, Said
 from martentide.net.config import Address
 from martentide.net.decider import GiveUp, Offer, ReleaseIn
 from martentide.net.endings import LOG, Reason, log_event
@@ -26,6 +27,9 @@
 ACCEPTED_AT_A_TIME = 32  # connections that are accepted before the door looks at them
 MUTE_GRACE = 1.0  # s in which a new connection may bring its first byte before a drain closes it
 REST_AGAIN = 0.02  # s until the next look at a link that is to be closed and is not at rest
+LEAST_DOOR = 8  # descriptors that callers have at least, beside a predecessor's connections
+MOVE_LIMIT = 1.0  # s in which a link must be ready to go to the successor
+MOVE_AGAIN = 0.005  # s until the next look at one that is not
 WAITING = 1024  # connections that wait in the system to be accepted
 FIRST_WINDOW = 64  # set-ups that may be open on a link, besides one for each that has stood
 OWED_FOR = 30.0  # s such a release is kept
@@ -33,10 +37,16 @@
 
 @dataclass(slots=True)
 class Record:
-    """A call of this party: the link its set-up came on, and whether it has been answered."""
+    """A call of this party: the link its set-up came on, and whether it has been answered.
+
+    ``foreign``: it is the predecessor's, which hears what its caller says of it. ``moved``: its caller's
+    connection is the successor's by now, which passes on what is said of it.
+    """
 
     link: Link | None
     stands: bool = False
+    foreign: bool = False
+    moved: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,11 +56,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Say:
-    """What the decider tells about a call: ``message`` for the caller, ``stands`` if it is an answer."""
+    """What the decider tells about a call: ``message`` for the caller, ``stands`` if it is an answer.
+
+    ``foreign``: the predecessor says so.
+    """
 
     call: bytes
     message: bytes
     stands: bool = False
+    foreign: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +72,58 @@
     call: bytes
 
 
-Item = Opened | Received | LinkEnded | Say | NoLongerOwed
+@dataclass(frozen=True, slots=True)
+class MoveOut:
+    """The successor takes this party over; ``send`` is the way to it."""
+
+    send: Callable[[MovedLink | MovedCalls | Said | Left, int | None], None]
+
+
+@dataclass(frozen=True, slots=True)
+class MoveLink:
+    link: Link
+    until: float  # loop time
+
+
+@dataclass(frozen=True, slots=True)
+class MoveIn:
+    """Calls of the predecessor: on a link that it handed over, or on none; releases that it owed."""
+
+    frame: MovedLink | MovedCalls
+    link: Link | None
+
+
+@dataclass(frozen=True, slots=True)
+class LeftHere:
+    """The successor tells that the caller gave up or ended the call, or is gone."""
+
+    call: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Orphaned:
+    """The predecessor is gone; its calls that had no answer fail, and nothing more is known of the others."""
+
+
+@dataclass(frozen=True, slots=True)
+class Deserted:
+    """The successor is gone, and with it the connections that it had taken over."""
+
+
+Send = Callable[[MovedLink | MovedCalls | Said | Left, int | None], None]
+Item = (
+    Opened
+    | Received
+    | LinkEnded
+    | Say
+    | NoLongerOwed
+    | MoveOut
+    | MoveLink
+    | MoveIn
+    | LeftHere
+    | Orphaned
+    | Deserted
+)
 
 
 class Party:
@@ -72,6 +137,7 @@
         door: Door,
     ) -> None:
         self.host, self.tell, self.leave, self.door = host, tell, leave, door
+        self.moving: Send | None = None  # to the successor, once the party goes there
         self.loop = asyncio.get_running_loop()
         self.mailbox: asyncio.Queue[Item] = asyncio.Queue()
         self.links: dict[Link, int] = {}  # and how many calls stood that came on it
@@ -110,6 +176,20 @@
                 self._opened(link)
             case LinkEnded(link):
                 self._link_ended(link)
+            case MoveOut(send):
+                self._move_out(send)
+            case MoveLink():
+                self._move_link(item)
+            case MoveIn(frame, link):
+                self._move_in(frame, link)
+            case LeftHere(call):
+                record = self.records.pop(call, None)
+                if record is not None:
+                    self.tell(ReleaseIn(call) if record.stands else GiveUp(call))
+            case Orphaned():
+                self._orphaned()
+            case Deserted():
+                self._deserted()
             case NoLongerOwed(call):
                 if self.owed.pop(call, None) is not None:
                     log_event("release-not-delivered", party=self.host, call=call.hex())
@@ -122,6 +202,13 @@
         self.post(Opened(link))
         self.door.arrived(link, self.host)
 
+    def take_over(self, frame: MovedLink, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """A link of the predecessor's, with what it had read of a message."""
+        peer = f"{self.host}:{frame.port}"
+        link = Link("caller", peer, (reader, writer), self.post, STALL, frame.begun)
+        self.post(MoveIn(frame, link))
+        self.door.arrived(link, self.host)
+
     def _opened(self, link: Link) -> None:
         self.links[link] = 0
         for release in self.owed.values():
@@ -131,12 +218,12 @@
     def _link_ended(self, link: Link) -> None:
         del self.links[link]
         self.door.left(link)
-        for call in [call for call, record in self.records.items() if record.link is link]:
-            if self.records[call].stands:
-                self.records[call].link = None
+        for call, record in [(call, record) for call, record in self.records.items() if record.link is link]:
+            if record.stands:
+                record.link = None
             else:
                 del self.records[call]
-                self.tell(GiveUp(call))
+                self._end(call, record)
 
     # ---- what callers say -------------------------------------------------------------------------------
 
@@ -148,9 +235,11 @@
             case Type.RELEASE:
                 link.write(write_message(Type.RELEASE_HEARD, message.call))
                 record = self.records.pop(message.call, None)
+                if record is None and self.door.predecessor is not None:
+                    self.door.predecessor(Left(self.host, message.call))  # it may stand there
                 if record is not None:
                     self._over(record)
-                    self.tell(ReleaseIn(message.call) if record.stands else GiveUp(message.call))
+                    self._end(message.call, record)
                     if not record.stands and record.link is not None:
                         self.door.ended(record.link, answered=False)
                     elif record.stands:
@@ -164,7 +253,7 @@
         known = self.records.get(message.call)
         if known is not None and known.link is not None and not known.link.alive and not known.stands:
             # Sent once more, since its connection was closed as it came: that end is yet to be taken here.
-            self.tell(GiveUp(message.call))
+            self._end(message.call, known)
         elif known is not None:
             # Guards against one answer for two set-ups, or two for one: which is whose could not be told.
             log_event("duplicate-call", party=self.host, call=message.call.hex())
@@ -199,6 +288,13 @@
         self.door.opened(link)
         self.tell(offer)
 
+    def _end(self, call: bytes, record: Record) -> None:
+        """The caller gave the call up, or ended it: its owner hears of it."""
+        if not record.foreign:
+            self.tell(ReleaseIn(call) if record.stands else GiveUp(call))
+        elif self.door.predecessor is not None:
+            self.door.predecessor(Left(self.host, call))
+
     def _over(self, record: Record) -> None:
         if record.stands and record.link is not None:
             self.door.stands(record.link, -1)
@@ -220,13 +316,22 @@
 
     def _say(self, item: Say) -> None:
         record = self.records.get(item.call)
+        if record is None and item.foreign and not item.stands:
+            record = Record(None, stands=True, foreign=True)  # its caller came back after its link had ended
+            self.records[item.call] = record
         if record is None:
             return  # the caller has left; the decider is being told
+        if record.moved and self.moving is not None:
+            self.moving(Said(self.host, item.call, item.message, item.stands), None)
+            record.stands = item.stands
+            if not item.stands:
+                del self.records[item.call]
+            return
         link = record.link if record.link is not None and record.link.alive else None
         if item.stands and link is None:
             # Guards against a call that stands for nobody: its link ended as the answer was on its way.
             del self.records[item.call]
-            self.tell(GiveUp(item.call))
+            self._end(item.call, record)
             return
         if not record.stands and record.link is not None:
             self.door.ended(record.link, answered=True)
@@ -241,9 +346,100 @@
             link = next((link for link in reversed(self.links) if link.alive), None)
         if link is not None:
             link.write(item.message)
-        elif record.stands and not item.stands and len(self.owed) < MOST_OWED:
-            self.owed[item.call] = item.message
-            self.loop.call_later(OWED_FOR, self.post, NoLongerOwed(item.call))
+        elif record.stands and not item.stands and self.door.successor is not None and not record.foreign:
+            self.door.successor(Said(self.host, item.call, item.message, False), None)  # it may come there
+        elif record.stands and not item.stands:
+            self._owe(item.call, item.message)
+
+    def _owe(self, call: bytes, message: bytes) -> None:
+        if len(self.owed) < MOST_OWED:
+            self.owed[call] = message
+            self.loop.call_later(OWED_FOR, self.post, NoLongerOwed(call))
+
+    # ---- upgrade ----------------------------------------------------------------------------------------
+
+    def _move_out(self, send: Send) -> None:
+        """Hand the party over: first what belongs to no link, then each link as soon as it can go."""
+        self.moving = send
+        standing = [call for call, record in self.records.items() if record.stands and record.link is None]
+        owed = list(self.owed.items())
+        self.owed.clear()
+        for at in range(0, max(len(standing), len(owed)), MOST_RECORDS):
+            part = slice(at, at + MOST_RECORDS)
+            send(MovedCalls(self.host, tuple(standing[part]), tuple(owed[part])), None)
+        for call in standing:
+            self.records[call].moved = True
+        until = self.loop.time() + MOVE_LIMIT
+        for link in list(self.links):
+            self._move_link(MoveLink(link, until))
+
+    def _move_link(self, item: MoveLink) -> None:
+        link = item.link
+        if self.moving is None or link not in self.links or not link.alive:
+            return
+        link.pause()
+        if not link.movable:
+            # Messages that were read are taken here first; a peer that takes no bytes can't go along.
+            if self.loop.time() < item.until:
+                self.loop.call_later(MOVE_AGAIN, self.post, item)
+            else:
+                link.close(Reason.BLOCKED)
+            return
+        records = {call: record for call, record in self.records.items() if record.link is link}
+        calls = [[call for call, one in records.items() if one.stands is stands] for stands in (False, True)]
+        frame = MovedLink(
+            host=self.host,
+            port=int(link.peer.rpartition(":")[2]),
+            begun=bytes(link.begun),
+            mute=link in self.door.mute,
+            stood=self.links[link],
+            open=tuple(calls[0]),
+            standing=tuple(calls[1][:MOST_RECORDS]),
+        )
+        self.moving(frame, link.descriptor)
+        for at in range(MOST_RECORDS, len(calls[1]), MOST_RECORDS):
+            self.moving(MovedCalls(self.host, tuple(calls[1][at : at + MOST_RECORDS]), ()), None)
+        for record in records.values():
+            record.link, record.moved = None, True
+        link.hand_over()
+
+    def _move_in(self, frame: MovedLink | MovedCalls, link: Link | None) -> None:
+        """Take over what the predecessor handed over; its calls stay its own."""
+        for call in frame.standing:
+            self.records[call] = Record(link, stands=True, foreign=True)
+        if isinstance(frame, MovedCalls):
+            for call, message in frame.owed:
+                if (alive := next((one for one in reversed(self.links) if one.alive), None)) is not None:
+                    alive.write(message)
+                else:
+                    self._owe(call, message)
+            return
+        assert link is not None
+        self.links[link] = frame.stood
+        for call in frame.open:
+            self.records[call] = Record(link, foreign=True)
+            self.door.opened(link)
+        self.door.stands(link, len(frame.standing))
+        if not frame.mute:
+            self.door.of_use(link)
+
+    def _deserted(self) -> None:
+        """Calls that stand have no connection until their callers come back; the others are given up."""
+        self.moving = None
+        for call, record in [(call, record) for call, record in self.records.items() if record.moved]:
+            record.moved = False
+            if not record.stands:
+                del self.records[call]
+                self._end(call, record)
+
+    def _orphaned(self) -> None:
+        """Guards against calls that nobody answers, once the process that had them is gone."""
+        for call, record in [(call, record) for call, record in self.records.items() if record.foreign]:
+            if record.stands:
+                del self.records[call]
+                self._over(record)
+            else:
+                self._say(Say(call, write_release(call, Cause.RESOURCE_UNAVAILABLE), foreign=True))
 
 
 def read_milliseconds(text: str | None) -> float:
@@ -271,6 +467,8 @@
         self.standing: dict[Link, int] = {}  # calls that stand and came on the link
         self.leaving = False
         self.ready: Callable[[], bool] = lambda: True  # what a test of the front is told
+        self.predecessor: Callable[[Left], None] | None = None  # hears of calls that are its own
+        self.successor: Send | None = None  # has the callers' new connections
 
     def arrived(self, link: Link, host: str) -> None:
         self.open[link], self.standing[link], self.host[link] = 0, 0, host
@@ -371,31 +569,112 @@
     """The listener: hands each connection to its party's actor."""
 
     def __init__(self, most: int, tell: Callable[[Offer | GiveUp | ReleaseIn], None]) -> None:
-        self.door, self.tell = Door(most), tell
+        self.door, self.tell, self.most = Door(most), tell, most
         self.parties: dict[str, Party] = {}
+        self.socket: socket.socket | None = None
         self.server: asyncio.Server | None = None
 
-    async def listen(self, address: Address) -> None:
-        # So many are accepted at a time, whatever waits: a flood must not use up the descriptors before the
-        # door has closed any. Then the queue of those that wait is made long again.
+    def bind(self, address: Address, shared: bool = False) -> None:
+        """Bind the listening socket; ``shared``: a second process may bind the same address beside it."""
         family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
         listener = socket.socket(family, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((address.host, address.port))
+        try:
+            if shared:
+                listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            listener.bind((address.host, address.port))
+        except OSError:
+            listener.close()
+            raise
+        self.socket = listener
+
+    async def accept(self) -> None:
+        """Accept on the socket that was bound, or taken over."""
+        if self.socket is None or self.server is not None:
+            return
+        # So many are accepted at a time, whatever waits: a flood must not use up the descriptors before the
+        # door has closed any. Then the queue of those that wait is made long again. The server gets a
+        # descriptor of its own, so that it can be ended and another begun on the same queue.
         self.server = await asyncio.start_server(
-            self._accept, sock=listener, backlog=ACCEPTED_AT_A_TIME, limit=MOST_BYTES
+            self._accept, sock=self.socket.dup(), backlog=ACCEPTED_AT_A_TIME, limit=MOST_BYTES
         )
-        listener.listen(WAITING)
+        self.socket.listen(WAITING)
 
     def addresses(self) -> list[tuple[str, int]]:
-        return [sock.getsockname()[:2] for sock in self.server.sockets] if self.server else []
+        return [self.socket.getsockname()[:2]] if self.socket is not None else []
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         host = (writer.get_extra_info("peername") or ("unknown", 0))[0]
+        self._party(host).welcome(reader, writer)
+
+    def _party(self, host: str) -> Party:
         if host not in self.parties:
             self.parties[host] = Party(host, self.tell, self.parties.__delitem__, self.door)
-        self.parties[host].welcome(reader, writer)
+        return self.parties[host]
 
-    def close(self) -> None:
+    def pause(self) -> None:
+        """Accept no more; who connects waits in the queue of the socket, which is kept."""
         if self.server is not None:
             self.server.close()
+            self.server = None
+
+    def close(self) -> None:
+        """Accept no more, and leave the socket (to the successor, if it has it too)."""
+        self.pause()
+        if self.socket is not None:
+            self.socket.close()
+            self.socket = None
+
+    # ---- upgrade ----------------------------------------------------------------------------------------
+
+    def move_out(self, send: Send) -> None:
+        """Hand all parties over; MovedLink comes for each link as soon as it can go."""
+        for party in list(self.parties.values()):
+            party.post(MoveOut(send))
+
+    async def move_in(self, frame: MovedLink | MovedCalls, descriptor: int | None) -> None:
+        """Take up what the predecessor handed over."""
+        if isinstance(frame, MovedCalls):
+            self._party(frame.host).post(MoveIn(frame, None))
+            return
+        if descriptor is None:
+            return
+        self.door.most = min(self.most, self.door.most + 1)
+        reader, writer = await asyncio.open_connection(
+            sock=socket.socket(fileno=descriptor), limit=MOST_BYTES
+        )
+        self._party(frame.host).take_over(frame, reader, writer)
+
+    def said(self, frame: Said) -> None:
+        """The predecessor has something to say to a caller."""
+        if frame.host in self.parties or not frame.stands:
+            say = Say(frame.call, frame.message, frame.stands, foreign=True)
+            self._party(frame.host).post(say)
+        elif self.door.predecessor is not None:
+            self.door.predecessor(Left(frame.host, frame.call))
+
+    def left(self, frame: Left) -> None:
+        """The successor tells what a caller said of a call of this process."""
+        if frame.host in self.parties:
+            self.parties[frame.host].post(LeftHere(frame.call))
+
+    def beside(self, predecessor: Callable[[Left], None], links: int) -> None:
+        """A predecessor is there, with so many links: both together have one budget of descriptors."""
+        self.door.predecessor, self.door.most = predecessor, max(LEAST_DOOR, self.most - links)
+
+    def yield_to(self, successor: Send) -> None:
+        """The successor accepts from now on, this process no more."""
+        self.pause()
+        self.door.successor = successor
+
+    def successor_gone(self) -> None:
+        """Connections that it had are over."""
+        self.door.successor = None
+        for party in list(self.parties.values()):
+            party.post(Deserted())
+
+    def orphaned(self) -> None:
+        """The predecessor is gone."""
+        self.door.predecessor, self.door.most = None, self.most
+        for party in list(self.parties.values()):
+            party.post(Orphaned())
--- a/martentide/net/endings.py
+++ b/martentide/net/endings.py
@@ -32,6 +32,7 @@
     IO_ERROR = "io-error"
     INTERNAL = "internal"
     DRAINED = "drained"
+    HANDED_OVER = "handed-over"
     ANSWERED = "answered"
     TURNED_DOWN = "turned-down"
     DIAL_REFUSED = "dial-refused"
@@ -47,12 +48,13 @@
     Reason.SHUTDOWN,
     Reason.TAKEN_OVER,
     Reason.DRAINED,
+    Reason.HANDED_OVER,
     Reason.ANSWERED,
 )
 
 
 def log_ended(role: str, peer: str, reason: Reason, detail: str = "") -> None:
-    """The one line that an ended connection leaves; ``role`` is caller, server, board, front or operator."""
+    """The one line that an ended connection leaves; roles are in ``docs/ON-CALL.md``."""
     write = LOG.info if reason in QUIET else LOG.warning
     more = {"detail": repr(detail)} if detail else {}
     write("connection-ended", role=role, peer=peer, reason=reason.value, **more)
--- a/martentide/net/links.py
+++ b/martentide/net/links.py
@@ -52,6 +52,7 @@
         streams: tuple[asyncio.StreamReader, asyncio.StreamWriter],
         post: Callable[[Received | LinkEnded], None],
         stall: float,
+        begun: bytes = b"",
     ) -> None:
         self.role, self.peer, self.post, self.stall = role, peer, post, stall
         self.reader, self.writer = streams
@@ -59,7 +60,7 @@
         self.opened_at = self.heard_at = self.loop.time()
         self.ended_by: Reason | None = None
         self.credit = asyncio.Semaphore(UNREAD)
-        self.begun = bytearray()  # of a message that is not whole yet
+        self.begun = bytearray(begun)  # of a message that is not whole yet
         self.waiting = 0  # messages that were read and that the actor has not taken yet
         self.watch: asyncio.TimerHandle | None = None
         self.task = self.loop.create_task(self._pump(), name=f"link {role} {peer}")
@@ -81,7 +82,8 @@
 
     async def _pump(self) -> None:
         reason, detail = Reason.INTERNAL, ""
-        begun, begun_at = self.begun, None
+        begun = self.begun
+        begun_at = self.opened_at if begun else None
         try:
             while data := await self._read(begun_at):
                 at, now = unix_ms(), self.loop.time()
@@ -128,12 +130,27 @@
         """Whether all that came was taken, down to the bytes that lie unread in the system: a link may be
         closed then without anything of the peer's being lost."""
         buffered: bytearray = self.reader._buffer  # type: ignore[attr-defined]  # nothing public tells of it
-        if self.begun or self.waiting or buffered:
+        if self.begun or self.waiting or buffered or self.blocked:
             return False
         poll = select.poll()
-        poll.register(self.writer.get_extra_info("socket").fileno(), select.POLLIN)
+        poll.register(self.descriptor, select.POLLIN)
         return not poll.poll(0)
 
+    def pause(self) -> None:
+        """Read no more from the system: what comes waits there."""
+        if not self.writer.is_closing():
+            self.writer.transport.pause_reading()  # type: ignore[attr-defined]
+
+    @property
+    def descriptor(self) -> int:
+        return int(self.writer.get_extra_info("socket").fileno())
+
+    @property
+    def movable(self) -> bool:
+        """Whether a paused link can go to another process: all that was read was taken, but for ``begun``."""
+        buffered: bytearray = self.reader._buffer  # type: ignore[attr-defined]
+        return self.alive and not (self.waiting or buffered or self.blocked)
+
     @property
     def blocked(self) -> bool:
         """Whether bytes wait here because the peer takes none."""
@@ -154,6 +171,16 @@
         if self.blocked:
             self.close(Reason.BLOCKED)
 
+    def hand_over(self) -> None:
+        """Leave the connection to another process, which has its descriptor: nothing is sent, nor an end."""
+        if self.ended_by is not None:
+            return
+        self.ended_by = Reason.HANDED_OVER
+        if self.watch is not None:
+            self.watch.cancel()
+        self.task.cancel()
+        self.writer.transport.abort()
+
     def close(self, reason: Reason) -> None:
         """End the link; the first reason given is the one that is logged."""
         if self.ended_by is not None:
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -6,11 +6,24 @@
 import dataclasses
 import itertools
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 from martentide.carriage import Ended, Order, Withdraw
 from martentide.codec.board import Listed, Notice
+from martentide.handover.wire import (
+    VERSION,
+    GiveBack,
+    Hello,
+    Left,
+    MovedCalls,
+    MovedLink,
+    Said,
+    Take,
+    Taken,
+    TurnedAway,
+    Welcome,
+)
 from martentide.interface import Ending, ListKind, ProbeEnded, ServerState, Settings
 from martentide.lifecycle import machine
 from martentide.lifecycle.calls import OUT_OF_SERVICE, READY
@@ -19,7 +32,8 @@
 from martentide.net.callers import Callers
 from martentide.net.config import Config, ConfigError
 from martentide.net.decider import Decider, Probing, ServerActor
-from martentide.net.endings import LOG, log_event
+from martentide.net.endings import LOG, Reason, log_event
+from martentide.net.handover import Channel, Found, Meeting, Refusal, find_predecessor, meeting_place
 from martentide.net.servers import Server
 from martentide.rules import Controller
 
@@ -29,6 +43,7 @@
     from martentide.net.learned import Store
 
 CALLERS_SHARE = 0.5  # of the descriptors: callers hold a third at most, old connections may overlap new ones
+TAKE_LIMIT = 1.0  # s for the predecessor to accept no more
 MOST_CALLS = 24  # descriptors set aside for the operator's calls
 
 
@@ -114,6 +129,12 @@
         self.asked: dict[int, asyncio.Future[tuple[int, str]]] = {}
         self.numbers = itertools.count(1)
         self.over: asyncio.Task[None] | None = None
+        self.found: Found | None = None
+        self.meeting: Meeting | None = None
+        self.channel: Channel | None = None  # to the predecessor, or to the successor that was welcomed
+        self.following: asyncio.Task[None] | None = None
+        self.accepting: asyncio.Task[None] | None = None
+        self.asking: dict[int, Channel] = {}
 
     def post(self, event: machine.Event) -> None:
         self.mailbox.put_nowait(event)
@@ -152,6 +173,8 @@
                 self.decider.closing = on
             case machine.StopListening():
                 self.callers.close()
+                if self.meeting is not None:
+                    self.meeting.close(unlink=self.machine.beside is not machine.Beside.TAKEN)
             case machine.SetDue(due, delay):
                 self.loop.call_later(delay, self.post, due)
             case machine.TellWhenOver():
@@ -163,6 +186,8 @@
                     self.processor.closing()  # fronts are told on their streams: no time to learn of it
             case machine.Tell(phase, by):
                 log_event("service-state", state=phase.value, by=by, calls=len(self.decider.calls))
+            case _:
+                self._act_on_upgrade(action)
 
     async def _tell_when_over(self) -> None:
         await self.decider.idle.wait()
@@ -170,6 +195,125 @@
             await self.processor.stop()
         self.post(machine.AllOver())
 
+    # ---- upgrade ----------------------------------------------------------------------------------------
+
+    def asked_for(self, channel: Channel, hello: Hello) -> None:
+        """A second process came to the meeting place."""
+        if hello.name != self.config.name:
+            channel.send(TurnedAway(f"{self.config.name} is in service here, {hello.name} asks"))
+            channel.close()
+            return
+        number = next(self.numbers)
+        self.asking[number] = channel
+        self.post(machine.SuccessorAsks(number))
+
+    def _act_on_upgrade(self, action: machine.Action) -> None:
+        match action:
+            case machine.OpenMeeting():
+                if self.meeting is not None:
+                    self.meeting.open()
+            case machine.TurnAway(ask, reason):
+                channel = self.asking.pop(ask)
+                channel.send(TurnedAway(reason))
+                channel.close()
+                log_event("upgrade", step="turned-away", detail=repr(reason))
+            case machine.WelcomeIt(ask):
+                self.channel = self.asking.pop(ask)
+                listener = self.callers.socket
+                assert listener is not None
+                self.channel.send(Welcome(len(self.callers.door.open)), listener.fileno())
+                self.following = self.loop.create_task(self._hear_successor(self.channel), name="successor")
+                log_event("upgrade", step="welcomed")
+            case machine.Yield():
+                assert self.channel is not None
+                self.callers.yield_to(self.channel.send)
+                if self.meeting is not None:
+                    self.meeting.close(unlink=False)
+                self.channel.send(Taken())
+                log_event("upgrade", step="yielded", links=len(self.callers.door.open))
+            case machine.MoveOut():
+                if self.channel is not None:
+                    log_event("upgrade", step="moving", links=len(self.callers.door.open))
+                    self.callers.move_out(self.channel.send)
+            case machine.AcceptAgain():
+                log_event("upgrade", step="accepting-again")
+                self.accepting = self.loop.create_task(self.callers.accept(), name="accept")
+            case machine.LetGoOfSuccessor():
+                self.channel = None
+                self.callers.successor_gone()
+            case machine.GiveBackIt():
+                if self.channel is not None:
+                    self.channel.send(GiveBack())
+            case machine.LetGoOfPredecessor():
+                self.channel = None
+                log_event("upgrade", step="alone")
+                self.callers.orphaned()
+
+    async def _hear_successor(self, channel: Channel) -> None:
+        while (heard := await channel.heard.get()) is not None:
+            match heard[0]:
+                case Take():
+                    self.post(machine.SuccessorTakes())
+                case GiveBack():
+                    self.post(machine.SuccessorGivesBack())
+                case Left() as left:
+                    self.callers.left(left)
+        self.post(machine.SuccessorGone())
+
+    async def _hear_predecessor(self, channel: Channel) -> None:
+        while (heard := await channel.heard.get()) is not None:
+            frame, descriptor = heard
+            match frame:
+                case MovedLink() | MovedCalls():
+                    await self.callers.move_in(frame, descriptor)
+                case Said():
+                    self.callers.said(frame)
+        self.post(machine.PredecessorGone())
+
+    async def find(self, environment: Mapping[str, str]) -> None:
+        """Look for a process in service that hands over; raises Refusal if it does not want to."""
+        path = meeting_place(environment, self.config.listen) if self.config.operator is not None else None
+        if path is not None:
+            self.meeting = Meeting(path, self.asked_for)
+            hello = Hello(VERSION, self.config.name, str(self.config.listen))
+            self.found = await find_predecessor(path, hello)
+
+    async def listen(self) -> None:
+        """Open the callers' listener: the predecessor's, where there is one, or a new one."""
+        if self.found is None:
+            # Where nobody could find this process, a second one may only share its address.
+            self.callers.bind(self.config.listen, self.config.operator is not None and self.meeting is None)
+        else:
+            self.post(machine.PredecessorFound())
+            await self._take(self.found)
+        await self.callers.accept()
+        self.post(machine.Listening())
+
+    async def _take(self, found: Found) -> None:
+        self.callers.socket, self.channel = found.listener, found.channel
+        self.callers.beside(found.channel.send, found.links)
+        found.channel.send(Take())
+        try:
+            async with asyncio.timeout(TAKE_LIMIT):
+                heard = await found.channel.heard.get()
+        except TimeoutError:
+            heard = None
+        if heard is not None and not isinstance(heard[0], Taken):
+            raise OSError(f"the process in service said {type(heard[0]).__name__}")
+        log_event("upgrade", step="took", links=found.links)
+        if heard is None:
+            # Without a word it is dead or as good as dead: its socket is here, and its queue with it.
+            found.channel.close(Reason.SILENT)
+            self.post(machine.PredecessorGone())
+            return
+        self.following = self.loop.create_task(self._hear_predecessor(found.channel), name="predecessor")
+
+    def close(self) -> None:
+        if self.meeting is not None:
+            self.meeting.close(unlink=self.machine.beside is not machine.Beside.TAKEN)
+        if self.channel is not None:
+            self.channel.close()
+
 
 def turned_on(
     config: Config, settings: Settings, decider: Decider
@@ -188,9 +332,9 @@
     return store, processor
 
 
-async def serve(config: Config, read: Callable[[], Config]) -> None:
+async def serve(config: Config, read: Callable[[], Config], environment: Mapping[str, str]) -> None:
     """Run until SIGTERM (or SIGINT) and until all that was taken by then is answered and over; ``read`` reads
-    the configuration anew."""
+    the configuration anew. Raises OSError where an address can't be listened on."""
     LOG.debug("settings", settings=config.settings, zones=config.zones, known=config.known)
     loop = asyncio.get_running_loop()
     dials = config.extras is None or config.extras.dials
@@ -219,6 +363,10 @@
         await control.listen(config.operator)
         for host, port in control.addresses():
             log_event("operator-listening", address=f"{host}:{port}")
+    try:
+        await service.find(environment)
+    except Refusal as error:
+        raise OSError(f"not handed over: {error}") from None
     decider.follow(fold(config.known), ListKind.REMEMBERED)
     if store is not None:
         await store.start()
@@ -230,11 +378,11 @@
         tasks.append(asyncio.create_task(store.run(), name="learned state"))
     if processor is not None:
         await processor.start()
-    await callers.listen(config.listen)
+    await service.listen()
     for host, port in callers.addresses():
         log_event("serving", name=config.name, address=f"{host}:{port}", servers=len(decider.servers))
-    service.post(machine.Listening())
     await tasks[0]
+    service.close()
     if control is not None:
         control.close()
     for task in tasks:
--- a/tests/lifecycle/test_machine.py
+++ b/tests/lifecycle/test_machine.py
@@ -7,22 +7,34 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from martentide.lifecycle.machine import (
+    AcceptAgain,
     AllOver,
     Answer,
+    Beside,
     Due,
     HangUp,
     InService,
     LeaveLinks,
     Listening,
     Machine,
+    MoveOut,
     OutOfService,
     Phase,
+    PredecessorFound,
+    PredecessorGone,
     RefuseSetUps,
     Reload,
     SetDue,
     Step,
     StopListening,
+    SuccessorAsks,
+    SuccessorGivesBack,
+    SuccessorGone,
+    SuccessorTakes,
     Terminate,
+    TurnAway,
+    WelcomeIt,
+    Yield,
 )
 
 
@@ -32,7 +44,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.machine = Machine()
-        self.leaving = self.refusing = self.stopped = False
+        self.leaving = self.refusing = self.stopped = self.accepting = False
         self.timers: list[Due] = []
         self.calls = 0
 
@@ -45,16 +57,47 @@
                 case RefuseSetUps(on):
                     self.refusing = on
                 case StopListening():
-                    self.stopped = True
+                    self.stopped, self.accepting = True, False
+                case Yield():
+                    assert self.machine.beside is Beside.TAKEN
+                    self.accepting = False
+                case AcceptAgain():
+                    assert not self.stopped
+                    self.accepting = True
                 case SetDue(due, delay):
                     assert delay >= 0
                     self.timers.append(due)
         return actions
 
-    @rule()
-    def listening(self) -> None:
+    @precondition(lambda self: not self.machine.listening and not self.stopped)
+    @rule(found=st.booleans())
+    def listening(self, found: bool) -> None:
+        if found and self.machine.phase is not Phase.ENDED:
+            self.feed(PredecessorFound())
+        self.accepting = self.machine.phase is not Phase.ENDED
         self.feed(Listening())
 
+    @rule()
+    def predecessor_gone(self) -> None:
+        self.feed(PredecessorGone())
+        assert self.machine.beside is not Beside.PREDECESSOR
+
+    @rule()
+    def successor_asks(self) -> None:
+        self.calls += 1
+        free = self.machine.listening and self.machine.beside is Beside.NOBODY
+        said = [one for one in self.feed(SuccessorAsks(self.calls)) if isinstance(one, WelcomeIt | TurnAway)]
+        if self.machine.phase is Phase.ENDED:
+            assert not said
+        else:
+            assert [type(one) for one in said] == [WelcomeIt if free else TurnAway]
+
+    @rule(event=st.sampled_from([SuccessorTakes(), SuccessorGivesBack(), SuccessorGone()]))
+    def successor(self, event: SuccessorTakes | SuccessorGivesBack | SuccessorGone) -> None:
+        self.feed(event)
+        if isinstance(event, SuccessorGone) and self.machine.phase is not Phase.ENDED:
+            assert self.machine.beside in (Beside.NOBODY, Beside.PREDECESSOR)
+
     @rule(out=st.booleans())
     def operator(self, out: bool) -> None:
         self.calls += 1
@@ -99,6 +142,14 @@
         if self.machine.ready:
             assert self.machine.listening and not (self.leaving or self.refusing or self.stopped)
 
+    @invariant()
+    def one_of_two_accepts(self) -> None:
+        """Nobody's connection waits for good: this process accepts, or the successor does, until the end."""
+        if self.machine.beside is Beside.TAKEN:
+            assert not self.accepting
+        elif self.machine.listening and self.machine.phase not in (Phase.STOPPING, Phase.ENDED):
+            assert self.accepting
+
     @invariant()
     def a_drain_and_a_stop_end(self) -> None:
         """What is still to come leads on from every phase that must not last."""
@@ -131,3 +182,17 @@
     assert not machine.ready
     machine.handle(InService(2))
     assert machine.ready
+
+
+def test_told_to_end_beside_a_successor_it_moves_its_connections() -> None:
+    machine = Machine()
+    for event in (Listening(), SuccessorAsks(1), SuccessorTakes()):
+        machine.handle(event)
+    assert MoveOut() in machine.handle(Terminate())
+
+
+def test_a_successor_that_takes_while_this_one_stops_gets_the_connections_too() -> None:
+    machine = Machine()
+    for event in (Listening(), Terminate(), SuccessorAsks(1)):
+        machine.handle(event)
+    assert MoveOut() in machine.handle(SuccessorTakes())
--- a/tests/net/support.py
+++ b/tests/net/support.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import http.client
 import json
 import os
@@ -152,7 +153,14 @@
 class Program:
     """The program under test, with its board and as many session servers as the test scripts."""
 
-    def __init__(self, folder: Path, servers: int = 1, operated: bool = False, **limits: Any) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        servers: int = 1,
+        operated: bool = False,
+        temporary: Path | None = None,
+        **limits: Any,
+    ) -> None:
         self.servers = [Listener() for _ in range(servers)]
         self.board = Listener()
         settings = {**SETTINGS, "limits": {**SETTINGS["limits"], **limits}}
@@ -175,24 +183,40 @@
                 }
             )
         )
+        self.temporary, self.operated = temporary or folder, operated
+        self._launch()
+
+    def _launch(self) -> None:
+        environment = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
         self.process = subprocess.Popen(
             [sys.executable, "-B", "-m", "martentide", "serve", "--config", str(self.config)],
             cwd=ROOT,
-            env={name: value for name, value in os.environ.items() if not name.startswith("PROXY_")},
+            env={**environment, "TMPDIR": str(self.temporary)},
             stderr=subprocess.PIPE,
             text=True,
         )
         self.lines: queue.Queue[str] = queue.Queue()
         self.log: list[str] = []
-        threading.Thread(target=self._read_log, daemon=True).start()
-        if operated:
+        threading.Thread(target=self._read_log, args=(self.process, self.lines), daemon=True).start()
+        if self.operated:
             self.operator = int(self.logged(r"operator-listening address=127\.0\.0\.1:(\d+)").group(1))
         self.port = int(self.logged(r"serving .*address=127\.0\.0\.1:(\d+)").group(1))
+        self.logged("state=in-service")  # a successor would find it from now on
+
+    def beside(self) -> Program:
+        """A second process of the same configuration: its successor."""
+        other = copy.copy(self)
+        other._launch()
+        return other
+
+    def kill(self) -> None:
+        self.process.kill()
+        self.process.wait()
 
-    def _read_log(self) -> None:
-        assert self.process.stderr is not None
-        for line in self.process.stderr:
-            self.lines.put(line.rstrip())
+    def _read_log(self, process: subprocess.Popen[str], lines: queue.Queue[str]) -> None:
+        assert process.stderr is not None
+        for line in process.stderr:
+            lines.put(line.rstrip())
 
     def logged(self, pattern: str) -> re.Match[str]:
         """The first log line, from where the last search ended, that holds the pattern."""
@@ -232,7 +256,6 @@
     def __exit__(
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
-        self.process.kill()
-        self.process.wait()
+        self.kill()
         for listener in [*self.servers, self.board]:
             listener.close()
