--- a/martentide/extproc/ledger.py
+++ b/martentide/extproc/ledger.py
@@ -195,6 +195,7 @@
     key: int  # unique in the program
     request: int  # the front's own number
     kind: CallClass
+    terms: Terms  # those it was asked under: they hold to its end
     cutoff: float  # the last final goes out by then
     asked_at: float
     state: State = State.PENDING
@@ -287,7 +288,8 @@
         if denied is not None:
             self._say(Refused(ask.request, denied.retry_after, denied.why))
             return
-        one = Request(next(self.keys), ask.request, kind, cutoff, ask.at if ask.came is None else ask.came)
+        came = ask.at if ask.came is None else ask.came
+        one = Request(next(self.keys), ask.request, kind, self.terms, cutoff, came)
         self.open[one.key] = self.by_request[one.request] = one
         self._wake(one, "cutoff", cutoff)
         number = ask.number or ""
@@ -300,7 +302,7 @@
             self._not_sent(order)  # it was closed as the order was on its way, or the server left the list
             return
         one.ref = order.ref
-        if one.attempts >= (1 if self.terms.single else self.terms.most_attempts) or not self.connected:
+        if one.attempts >= (1 if one.terms.single else one.terms.most_attempts) or not self.connected:
             self._not_sent(order)
             return
         if now < one.not_before:
@@ -388,7 +390,7 @@
         if ending is Ending.DELIVERED:  # over before it was said to stand: nothing shows that it stood
             ending = Ending.CUT
         if ending in RELEASE_AFTER:
-            one.not_before = now + self.terms.release
+            one.not_before = now + one.terms.release
         one.may_have_run = one.may_have_run or ending not in NEVER_RAN
         one.state, one.asked_at = State.PENDING, now
         self._unwake(one, "lease")
--- a/martentide/interface.py
+++ b/martentide/interface.py
@@ -76,7 +76,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """What an instance is told at its start and never learns again.
+    """What an instance is told at its start, and again, whole, by SettingsChanged.
 
     ``proxies`` >= 1 is the size of the fleet and ``own_slot`` this proxy's number in it, 0 to proxies - 1.
     ``over_share_worth`` 0 to 1: worth of a call past its tenant's share, against the usual. ``lists_pushed``:
@@ -107,6 +107,7 @@
     cold_time: float
     fall_multiple: float
     fall_time: float
+    revision: int = 0  # grows by one with each change while the program runs
 
 
 # ---- events ---------------------------------------------------------------------------------------------
@@ -209,6 +210,13 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """Other settings hold for what is offered from now on; calls offered before keep their own."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class TimerDue:
     """A timer set by SetTimer came due."""
@@ -216,7 +224,17 @@
     token: int
 
 
-Event = ServerList | SetUpOffered | Stands | AttemptEnded | CallerGone | ProbeEnded | PeerMessage | TimerDue
+Event = (
+    ServerList
+    | SetUpOffered
+    | Stands
+    | AttemptEnded
+    | CallerGone
+    | ProbeEnded
+    | PeerMessage
+    | SettingsChanged
+    | TimerDue
+)
 
 
 # ---- actions --------------------------------------------------------------------------------------------
--- a/martentide/net/config.py
+++ b/martentide/net/config.py
@@ -11,7 +11,7 @@
 from martentide.codec import CodecError
 from martentide.codec.board import Notice, read_known
 from martentide.interface import Settings
-from martentide.settings import SettingsError, settings_from
+from martentide.settings import SettingsError, check_settings, key_paths, settings_from
 
 if TYPE_CHECKING:
     from martentide.extras import Extras
@@ -48,6 +48,7 @@
     zones: tuple[str, ...]
     connect_timeout: float
     max_open: int
+    keys: frozenset[str]  # of the file, down to those of a class: a later file may not lack one
     operator: Address | None = None  # where the operator's calls come in; None: nowhere
     extras: Extras | None = None  # what the extras file turns on
 
@@ -68,7 +69,7 @@
     if not path:
         raise ConfigError("PROXY_CONFIG: not set, and no --config given")
     try:
-        raw = json.loads(Path(path).read_text(encoding="utf-8"))
+        raw = json.loads(Path(path).read_text(encoding="utf-8"), parse_constant=no_constant)
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except ValueError as error:
@@ -90,8 +91,20 @@
         raise ConfigError(str(error)) from None
 
 
+def no_constant(text: str) -> Any:
+    raise ValueError(f"{text} is no number of JSON")
+
+
+def check_keys(new: Config, running: Config) -> None:
+    """Raises ConfigError where the file lacks a key that the running one has."""
+    lost = sorted(running.keys - new.keys)
+    if lost:
+        raise ConfigError(f"{lost[0]}: missing, the running configuration has it")
+
+
 def read_config(raw: Mapping[str, Any]) -> Config:
     try:
+        check_settings(raw["settings"])
         settings = settings_from(raw["settings"])
         number, known = read_known(raw["known"])
         limits = raw["settings"]["limits"]
@@ -108,6 +121,7 @@
             zones=tuple(str(zone) for zone in raw["settings"]["zones"]),
             connect_timeout=float(limits["connect_timeout_ms"]) / 1000.0,
             max_open=int(limits["max_open"]),
+            keys=key_paths({**raw, "known": None}),
         )
     except SettingsError as error:
         raise ConfigError(f"settings: {error}") from None
--- a/martentide/net/decider.py
+++ b/martentide/net/decider.py
@@ -33,6 +33,8 @@
     ServerList,
     ServerState,
     SetTimer,
+    Settings,
+    SettingsChanged,
     SetUpOffered,
     Stands,
     TimerDue,
@@ -111,7 +113,7 @@
 class ServerActor(Carrier, Protocol):
     """The carrier over the program's own links to one server."""
 
-    def post(self, item: Order | Withdraw | Probing | Listed) -> None: ...
+    def post(self, item: Order | Withdraw | Probing | Listed | Settle) -> None: ...
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +121,16 @@
     ref: int
 
 
-Item = Offer | GiveUp | ReleaseIn | Stood | Ended | ProbeEnded | TimerDue | Overdue | Notice
+@dataclass(frozen=True, slots=True)
+class Settle:
+    """Other settings hold for what comes from now on; ``connect_timeout`` in s."""
+
+    settings: Settings
+    max_open: int
+    connect_timeout: float
+
+
+Item = Offer | GiveUp | ReleaseIn | Stood | Ended | ProbeEnded | TimerDue | Overdue | Notice | Settle
 
 
 @dataclass(slots=True)
@@ -192,6 +203,11 @@
                 self.follow(item)
             case Overdue(ref):
                 self._overdue(ref)
+            case Settle(settings, max_open):
+                self.max_open = max_open
+                for server in self.servers.values():
+                    server.post(item)
+                self._feed(SettingsChanged(settings))
             case _:
                 self._feed(item)
 
--- a/martentide/net/extproc/host.py
+++ b/martentide/net/extproc/host.py
@@ -34,6 +34,14 @@
     def terms(self, single: bool) -> Terms:
         return self.part.ledger_terms(self.settings, single)
 
+    def settle(self, settings: Settings) -> None:
+        """Other settings hold for what is asked from now on. The table of classes stays the same object:
+        each front's ledger looks into it."""
+        self.settings = settings
+        self.classes.clear()
+        self.classes.update({kind.name: kind for kind in settings.classes})
+        self.admission.top_worth = max((kind.worth for kind in settings.classes), default=1.0)
+
     def change(self, part: ExternalProcessor) -> None:
         """New figures hold for what comes from now on."""
         self.part = part
--- a/martentide/net/extproc/server.py
+++ b/martentide/net/extproc/server.py
@@ -92,15 +92,23 @@
             front.tell(event)
         self.decisions.list_changed(listed)
 
+    def settle(self, settings: Settings) -> None:
+        """Other settings hold for what is asked from now on; what is open keeps its class and attempts."""
+        self.host.settle(settings)
+        self._terms()
+
     def change(self, part: ExternalProcessor) -> list[str]:
         """New figures from the extras file; returns what waits for a restart."""
         kept = [name for name in FIXED if getattr(part, name) != getattr(self.part, name)]
         self.host.change(part)
+        self._terms()
+        return kept
+
+    def _terms(self) -> None:
         for member in self.decisions.members.values():
             member.front.ledger.terms = self.host.terms(single=False)
         for peer in self.envoy.peers.values():
             peer.front.ledger.terms = self.host.terms(single=True)
-        return kept
 
     def closing(self) -> None:
         """New questions are refused from now on; open ones get their verdicts."""
--- a/martentide/net/learned.py
+++ b/martentide/net/learned.py
@@ -165,6 +165,10 @@
         self.idle.set()
         self.saves = 0
 
+    def settle(self, settings: Settings) -> None:
+        """Other settings hold: what is saved from now on was learned under them."""
+        self.print = fingerprint(settings)
+
     # ---- start --------------------------------------------------------------------------------------------
 
     async def start(self) -> Decision | None:
--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -19,7 +19,7 @@
 from martentide.codec.figures import read_report
 from martentide.codec.messages import Cause, Code, Message, Type, write_message, write_release
 from martentide.interface import Ending, ProbeEnded, Report, ServerState
-from martentide.net.decider import Probing
+from martentide.net.decider import Probing, Settle
 from martentide.net.endings import LOG, Reason, log_ended
 from martentide.net.links import Link, LinkEnded, Received, unix_ms
 
@@ -98,7 +98,7 @@
 
 
 Timer = PatienceOver | DoubtDue | TestOver | RedialDue | QuietDue
-Item = Order | Withdraw | Probing | Listed | Received | LinkEnded | Dialled | Timer
+Item = Order | Withdraw | Probing | Listed | Settle | Received | LinkEnded | Dialled | Timer
 
 
 class Server:
@@ -172,7 +172,7 @@
             case RedialDue():
                 self.redial = None
                 self._dial()
-            case Listed():
+            case Listed() | Settle():
                 self._told(item)
 
     # ---- set-ups ----------------------------------------------------------------------------------------
@@ -489,7 +489,10 @@
         if self.asked_at is None:
             self.asked_at = self.loop.time()
 
-    def _told(self, listed: Listed) -> None:
+    def _told(self, listed: Listed | Settle) -> None:
+        if isinstance(listed, Settle):
+            self.connect_timeout = listed.connect_timeout
+            return
         restarted = (listed.entry.started or 0.0) > (self.listed.entry.started or 0.0)
         self.listed = listed
         if listed.entry.state is ServerState.GONE:
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -30,8 +30,8 @@
 from martentide.lifecycle.machine import Machine
 from martentide.net.board import Board, Moved
 from martentide.net.callers import Callers
-from martentide.net.config import Config, ConfigError
-from martentide.net.decider import Decider, Probing, ServerActor
+from martentide.net.config import Config, ConfigError, check_keys
+from martentide.net.decider import Decider, Probing, ServerActor, Settle
 from martentide.net.endings import LOG, Reason, log_event
 from martentide.net.handover import Channel, Found, Meeting, Refusal, find_predecessor, meeting_place
 from martentide.net.servers import Server
@@ -65,7 +65,7 @@
     def __init__(self, listed: Listed, decider: Decider) -> None:
         self.listed, self.decider = listed, decider
 
-    def post(self, item: Order | Withdraw | Probing | Listed) -> None:
+    def post(self, item: Order | Withdraw | Probing | Listed | Settle) -> None:
         if isinstance(item, Probing):
             name = self.listed.entry.name
             self.decider.post(ProbeEnded(name, Ending.UNREACHABLE, False, 0.0, None))
@@ -77,6 +77,7 @@
 def reload(
     config: Config,
     read: Callable[[], Config],
+    decider: Decider,
     board: Board,
     processor: ExternalProcessorServer | None = None,
     store: Store | None = None,
@@ -84,12 +85,25 @@
     """SIGHUP: the configuration that holds from now on; a bad file changes nothing."""
     try:
         new = read()
+        check_keys(new, config)
     except ConfigError as error:
-        log_event("reload-failed", detail=repr(str(error)))
+        log_event("reload-failed", detail=repr(str(error)), revision=config.settings.revision)
         return config
-    # What an instance is born with (name, address, seed, settings) is the same until its next start.
-    fixed = ("name", "listen", "operator", "settings", "zones")
+    # Where an instance is and what it is called is the same until its next start, and so are its limits.
+    fixed = ("name", "listen", "operator", "zones", "sockets")
     kept = [key for key in fixed if getattr(new, key) != getattr(config, key)]
+    settings = dataclasses.replace(new.settings, revision=config.settings.revision)
+    terms = (settings, new.max_open, new.connect_timeout)
+    changed = terms != (config.settings, config.max_open, config.connect_timeout)
+    if changed:
+        settings = dataclasses.replace(settings, revision=settings.revision + 1)
+        dials = new.extras is None or new.extras.dials
+        told = settings if dials else dataclasses.replace(settings, may_probe=False)
+        decider.post(Settle(told, new.max_open, new.connect_timeout))
+        if processor is not None:
+            processor.settle(told)
+        if store is not None:
+            store.settle(settings)
     part = new.extras.external_processor if new.extras is not None else None
     if processor is not None and part is not None:
         kept += [f"external-processor.{name}" for name in processor.change(part)]
@@ -100,10 +114,18 @@
         store.move(state.folder, state.pace())
     elif (store is None) != (state is None):
         kept.append("learned-state")
-    log_event("reloaded", board=new.board, restart_needed_for=",".join(kept) or "nothing")
+    log_event(
+        "reloaded",
+        board=new.board,
+        revision=settings.revision,
+        settings="changed" if changed else "same",
+        classes=",".join(kind.name for kind in settings.classes),
+        restart_needed_for=",".join(kept) or "nothing",
+    )
     if new.board != config.board:
         board.post(Moved(new.board))
-    return dataclasses.replace(config, board=new.board)
+    held = {key: getattr(config, key) for key in (*fixed, "seed", "known", "known_number")}
+    return dataclasses.replace(new, settings=settings, **held)
 
 
 class Service:
@@ -180,7 +202,9 @@
             case machine.TellWhenOver():
                 self.over = self.loop.create_task(self._tell_when_over(), name="all over")
             case machine.Reload():
-                self.config = reload(self.config, self.read, self.board, self.processor, self.store)
+                self.config = reload(
+                    self.config, self.read, self.decider, self.board, self.processor, self.store
+                )
             case machine.CloseFronts():
                 if self.processor is not None:
                     self.processor.closing()  # fronts are told on their streams: no time to learn of it
@@ -343,7 +367,7 @@
     def start_server(listed: Listed, decider: Decider) -> ServerActor:
         if not dials:
             return Unlinked(listed, decider)
-        return Server(listed, config.connect_timeout, decider.post)
+        return Server(listed, service.config.connect_timeout, decider.post)
 
     decider = Decider(Controller(settings, config.seed), start_server, config.max_open)
     board = Board(config.board, config.known_number, config.zones, config.connect_timeout, decider.post)
--- a/martentide/rules.py
+++ b/martentide/rules.py
@@ -17,7 +17,7 @@
 from martentide.interface import (
     Action, AttemptEnded, CallClass, CallerGone, CancelAttempt, Ending, Event, Fail, FollowList, ListKind,
     PeerMessage, Probe, ProbeEnded, Refuse, Repeat, Report, ReportBy, SendSetUp, ServerEntry, ServerList,
-    ServerState, SetTimer, Settings, SetUpOffered, Stands, TellPeer, TimerDue,
+    ServerState, SetTimer, Settings, SettingsChanged, SetUpOffered, Stands, TellPeer, TimerDue,
 )  # fmt: skip
 
 # ---- fleet ----------------------------------------------------------------------------------------------
@@ -170,6 +170,7 @@
 
     ref: int
     kind: CallClass
+    rules: Settings  # those it was offered under: they hold to its end
     tenant: str | None
     first_choice: int
     in_transit: bool
@@ -190,20 +191,10 @@
     """The decisions of one border proxy."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings = settings
         self.random = random.Random(seed)
-        self.classes = {kind.name: kind for kind in settings.classes}
-        self.top_worth = max((kind.worth for kind in settings.classes), default=1.0)
-        shortest_aim = min((kind.aim for kind in settings.classes), default=1000.0)
-        self.tolerable = TOLERABLE_OF_AIM * shortest_aim
-        if settings.repeat_interval > 0:
-            self.tolerable = min(self.tolerable, settings.repeat_interval)
-        self.trial_scale = min(1.0, self.tolerable / TRIALS_FOR)
-        self.tick = TICK * self.trial_scale  # where aims are short, a slower look leaves servers idle
-        self.window = OFFERED_WINDOW * math.sqrt(max(1.0, settings.proxies / FEW))
-        self.part = min(1.0, FEW / max(1, settings.proxies))  # of a least allowance: all parts come to FEW
+        self.taken: dict[str, deque[float]] = {}
+        self._settle(settings)
         self.first_tries: dict[str, float] = {}
-        self.taken: dict[str, deque[float]] = {tenant.name: deque() for tenant in settings.tenants}
         self.peer_rates: dict[int, tuple[float, list[float]]] = {}
         self.inside_share: dict[str, float] = {}
         self.tenants_due = self.peers_due = 0.0
@@ -215,6 +206,21 @@
         self.started: float | None = None
         self.actions: list[Action] = []
 
+    def _settle(self, settings: Settings) -> None:
+        """What follows from the settings; calls that were offered under others keep theirs."""
+        self.settings = settings
+        self.classes = {kind.name: kind for kind in settings.classes}
+        self.top_worth = max((kind.worth for kind in settings.classes), default=1.0)
+        shortest_aim = min((kind.aim for kind in settings.classes), default=1000.0)
+        self.tolerable = TOLERABLE_OF_AIM * shortest_aim
+        if settings.repeat_interval > 0:
+            self.tolerable = min(self.tolerable, settings.repeat_interval)
+        self.trial_scale = min(1.0, self.tolerable / TRIALS_FOR)
+        self.tick = TICK * self.trial_scale  # where aims are short, a slower look leaves servers idle
+        self.window = OFFERED_WINDOW * math.sqrt(max(1.0, settings.proxies / FEW))
+        self.part = min(1.0, FEW / max(1, settings.proxies))  # of a least allowance: all parts come to FEW
+        self.taken = {tenant.name: self.taken.get(tenant.name, deque()) for tenant in settings.tenants}
+
     def handle(self, now: float, event: Event) -> list[Action]:
         """What to do about one event."""
         self.actions = []
@@ -239,6 +245,9 @@
                 self._probed(now, event)
             case PeerMessage():
                 self._hear_peer(now, event)
+            case SettingsChanged(settings):
+                self._settle(settings)
+                self.peer_rates.clear()  # their order is that of the tenants told of before
             case TimerDue(token) if token == TICK_TOKEN:
                 self.ticking = False
                 self._serve(now)
@@ -286,6 +295,7 @@
         call = self.calls[event.ref] = Call(
             ref=event.ref,
             kind=kind,
+            rules=self.settings,
             tenant=event.tenant,
             first_choice=event.first_choice,
             in_transit=event.in_transit,
@@ -344,7 +354,7 @@
         for ref, attempt in [key for key, at in server.out.items() if at < sent - OVERTAKEN]:
             del server.out[(ref, attempt)]
             call = self.calls.get(ref)
-            if call is not None and self.settings.may_cancel and call.kind.repeat is Repeat.HARMLESS:
+            if call is not None and call.rules.may_cancel and call.kind.repeat is Repeat.HARMLESS:
                 self.actions.append(CancelAttempt(ref, attempt))
 
     def _blame(self, now: float, call: Call, stood_at: str) -> None:
@@ -380,8 +390,8 @@
         if event.ending in (Ending.TIMED_OUT, Ending.CUT, Ending.CANCELLED, Ending.ERROR):
             call.may_have_run = True
         if event.ending in (Ending.TIMED_OUT, Ending.CUT, Ending.CANCELLED):
-            call.not_before = now + self.settings.release
-        room = call.attempts < self.settings.max_attempts and len(call.erred) < MOST_ERRORS
+            call.not_before = now + call.rules.release
+        room = call.attempts < call.rules.max_attempts and len(call.erred) < MOST_ERRORS
         again = room and (call.kind.repeat is Repeat.HARMLESS or not call.may_have_run)
         last = call.deadline - ANSWER_MARGIN
         if not again or max(now, call.not_before) >= last:
@@ -417,7 +427,7 @@
             self.actions.append(Fail(call.ref))
             return
         late = now > call.began + call.kind.aim
-        self.actions.append(Refuse(call.ref, self.settings.max_hold_off if late else 0.0))
+        self.actions.append(Refuse(call.ref, call.rules.max_hold_off if late else 0.0))
 
     def _value(self, call: Call, now: float) -> float:
         """Expected worth of setting the call up now."""
@@ -485,13 +495,13 @@
     def _patience(self, call: Call, server: Server, now: float) -> float:
         left = call.deadline - now
         others = sum(1 for server in self._open_to(call) if server.entry.name not in call.tried)
-        if call.attempts >= self.settings.max_attempts or not others:
+        if call.attempts >= call.rules.max_attempts or not others:
             return max(left, 1.0)
         aim_left = call.began + call.kind.aim - now
-        wish = aim_left - self.settings.release - SPARE_FOR_SECOND
+        wish = aim_left - call.rules.release - SPARE_FOR_SECOND
         wish = max(wish, min(aim_left, PATIENCE_LAGS * server.remembered_lag(now)))
         least = call.kind.aim * LEAST_PATIENCE_OF_AIM
-        if call.kind.aim - self.settings.release - SPARE_FOR_SECOND < least:
+        if call.kind.aim - call.rules.release - SPARE_FOR_SECOND < least:
             least = call.kind.aim  # no second attempt can be in time: an early time-out only wastes the first
         return max(1.0, min(left, max(wish, least)))
 
--- a/tests/learned/test_store.py
+++ b/tests/learned/test_store.py
@@ -19,7 +19,7 @@
 from martentide.learned.codec import fingerprint, read_state
 from martentide.learned.files import OLD, STATE
 from martentide.learned.pacing import Pace
-from martentide.net.decider import Decider, Probing
+from martentide.net.decider import Decider, Probing, Settle
 from martentide.net.learned import Store
 from martentide.rules import Controller
 from martentide_lab.proxy import ROOT, Proxy
@@ -33,7 +33,7 @@
 class Mute:
     """A server's actor that does nothing."""
 
-    def post(self, item: Order | Withdraw | Probing | Listed) -> None:
+    def post(self, item: Order | Withdraw | Probing | Listed | Settle) -> None:
         pass
 
 
--- a/tests/net/test_cli.py
+++ b/tests/net/test_cli.py
@@ -36,7 +36,7 @@
         ("{", "not JSON"),
         ("[]", "not a JSON object"),
         ("{}", "settings: missing"),
-        (json.dumps({"settings": {}}), "settings: extra is missing"),
+        (json.dumps({"settings": {}}), "settings: classes: expected a list of classes"),
     ],
 )
 @pytest.mark.parametrize("command", ["serve", "check-config"])
--- a/tests/net/test_operating.py
+++ b/tests/net/test_operating.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import json
 import socket
 import time
 from pathlib import Path
+from typing import Any
 
 from martentide.codec.messages import Code, Type
 from tests.net.support import LIMIT, Program, Wire
@@ -113,3 +115,52 @@
         caller, server = program.caller(), program.servers[0].accept()
         stand(caller, server)
         assert not [line for line in program.log if "operator" in line]
+
+
+def retuned(program: Program, **changes: Any) -> str:
+    """The running file with other settings: a second class, and what is given."""
+    raw = json.loads(program.config.read_text())
+    first = raw["settings"]["classes"][0]
+    raw["settings"]["classes"] = [first, {**first, "name": "video", "repeat": "non_idempotent"}]
+    raw["settings"]["extra"]["pools_by_class"] = [[0, 1], [0, 1]]
+    raw["settings"]["limits"].update(changes)
+    return json.dumps(raw)
+
+
+def test_sighup_changes_settings_for_what_comes_and_not_for_what_is_open(tmp_path: Path) -> None:
+    with Program(tmp_path, servers=2) as program:
+        caller = program.caller()
+        servers = [listener.accept() for listener in program.servers]
+        caller.set_up(A, left=9000)
+        servers[0].receive(Type.SET_UP)
+        program.reload(retuned(program, max_attempts=1))
+        program.logged("reloaded .*revision=1 settings=changed classes=voice,video")
+        servers[0].release(A, 41)  # reset under the set-up, which had five attempts when it came
+        assert servers[1].receive(Type.SET_UP).call == A
+        servers[1].send(Type.ANSWER, A, {Code.DESCRIPTION: b"x"})
+        assert caller.receive().type == Type.ANSWER
+        caller.set_up(B, left=9000, name=b"video")  # of the class that is new, and may not be repeated
+        servers[0].receive(Type.SET_UP)
+        servers[0].release(B, 41)
+        assert (failed := caller.receive()).call == B and failed.cause() not in (16, 34, 42, 102)
+
+
+def test_a_bad_file_is_turned_down_whole_and_the_last_good_one_holds(tmp_path: Path) -> None:
+    with Program(tmp_path) as program:
+        board = program.board.accept()
+        good = retuned(program)
+        bad = good.replace(f":{program.board.port}", ":9")
+        program.reload(bad.replace('"max_attempts": 5', '"max_attempts": 0'))
+        program.logged(
+            "reload-failed detail='settings: limits.max_attempts: expected a whole number .*, found 0'"
+        )
+        program.reload("")
+        program.logged("reload-failed .*not JSON")
+        program.reload(bad.replace('"late_share"', '"late_shore"', 1))
+        program.logged("reload-failed .*missing")
+        program.reload(good)
+        program.logged("reloaded .*revision=1 settings=changed")
+        program.reload(good)
+        program.logged("reloaded .*revision=1 settings=same")
+        board.exactly(8)
+        stand(program.caller(), program.servers[0].accept())
