Dial a server anew when a link ends under standing calls: a release may be lost with it

Fault: servers.py, _link_ended dialled only where no other link was left; the server says a release again on the next connection that is opened, and none was.

--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -445,6 +445,10 @@
                 self._end_test(number, Ending.CUT, None)
         # The end of a link, also by a reset, cuts no call that stands: that the process is dead shows when it
         # is dialled and nobody listens, or by word of the list that it has started anew.
+        if any(held.stands and held.link is link for held in self.held.values()):
+            # Guards against a release that was lost with the link, half read or unread: the server says it
+            # again on the next connection that is opened, whatever others there are.
+            self._dial()
         if not self.ways:
             waits = self.owed or any(held.stands for held in self.held.values())
             if waits or self.loop.time() - link.opened_at > LIVED:
--- a/tests/net/test_rules_on_sockets.py
+++ b/tests/net/test_rules_on_sockets.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from martentide.codec.messages import Code, Message, Type
+from martentide.codec.messages import Code, Message, Type, write_release
 from tests.net.support import DESCRIPTION, Listener, Program, Wire, frame
 
 A, B = bytes.fromhex("0123456789abcdef"), bytes.fromhex("fedcba9876543210")
@@ -381,3 +381,22 @@
         board.sock.sendall(frame(2, 2, (0, late.port, 0)))
         stand(caller, late.accept())
         late.close()
+
+
+def test_a_release_lost_with_its_link_is_heard_on_the_next_though_another_is_open(tmp_path: Path) -> None:
+    """A server stops in the middle of a call's release; its other link is no reason not to open a third."""
+    with Program(tmp_path) as program:
+        caller, first = program.caller(), program.servers[0].accept()
+        stand(caller, first)
+        caller.set_up(B)
+        first.receive(Type.SET_UP)  # and no word: another link is opened beside
+        second = program.servers[0].accept()
+        second.send(Type.GROUP_STATE, bytes(8))
+        first.send(Type.ANSWER, B, {Code.DESCRIPTION: b"x"})
+        assert caller.receive().type == Type.ANSWER
+        first.sock.sendall(write_release(A, 16)[:7])
+        assert first.closed()
+        began = time.monotonic()
+        program.servers[0].accept().release(A, 16)
+        assert caller.receive(Type.RELEASE).call == A
+        assert time.monotonic() - began < 1.0  # the rule's second; silence would be looked into after 1.5 s
