--- /dev/null
+++ b/benchmarks/upgrade.py
@@ -0,0 +1,214 @@
+"""Upgrades under load: ``python -m benchmarks.upgrade [--upgrades N] [--short]``.
+
+Callers on kept connections and callers that open one for each call offer calls without a pause, while the
+process is replaced again and again: a second one is started beside it, and the first gets SIGTERM once the
+second is in service. Counted is what callers and session servers saw, not what the program says. The last
+line is ``RESULT {json}``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import signal
+from collections import Counter
+from typing import Any
+
+import click
+
+from martentide.codec.messages import (
+    Cause,
+    Code,
+    Message,
+    Type,
+    read_message,
+    split,
+    write_message,
+    write_release,
+)
+from martentide_lab.proxy import Proxy
+from martentide_lab.servers import Board, SessionServer
+
+TIME_LEFT = 2.5  # s a caller waits
+LATE = 0.5  # s beyond it, after which an answer is missing
+KEPT, FRESH = 6, 4  # callers on kept connections, and callers that open one for each call
+ENDS = 8.0  # s for a call that is over to be released to its caller
+
+
+class Caller:
+    """One caller, one call at a time; ``kept``: on one connection for good."""
+
+    def __init__(self, address: str, number: int, kept: bool, counts: Counter[str]) -> None:
+        self.address, self.kept, self.counts = address, kept, counts
+        self.dice = random.Random(number)
+        self.number = number
+        self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self.begun = bytearray()
+        self.stopping = False
+
+    async def run(self) -> None:
+        made = 0
+        while not self.stopping:
+            made += 1
+            call = (self.number << 32 | made).to_bytes(8, "big")
+            try:
+                await self._one(call)
+            except ConnectionRefusedError:
+                self.counts["refused"] += 1
+                self.streams = None
+            except (ConnectionResetError, BrokenPipeError):
+                self.counts["reset"] += 1
+                self.streams = None
+            except EOFError:
+                self.counts["unread"] += 1
+                self.streams = None
+            except TimeoutError:
+                self.counts["missing"] += 1
+                self.streams = None
+            if not self.kept and self.streams is not None:
+                self.streams[1].close()
+                self.streams = None
+            await asyncio.sleep(self.dice.uniform(0.0, 0.02))
+        if self.streams is not None:
+            self.streams[1].close()
+
+    async def _one(self, call: bytes) -> None:
+        if self.streams is None:
+            host, _, port = self.address.rpartition(":")
+            # Each caller is a machine of its own.
+            local = (f"127.0.1.{self.number}", 0)
+            self.streams = await asyncio.open_connection(host, int(port), local_addr=local)
+            self.begun.clear()
+        reader, writer = self.streams
+        self.counts["calls"] += 1
+        parameters: dict[int, bytes] = {
+            Code.CLASS: b"status-check",
+            Code.TIME_LEFT: str(int(TIME_LEFT * 1000)).encode(),
+            Code.NUMBER: call.hex().encode(),
+            Code.FIGURES: f"dest:{self.dice.randrange(2)};width:1;via:-1".encode(),
+            Code.DESCRIPTION: call,
+        }
+        message = write_message(Type.SET_UP, call, parameters)
+        cut = self.dice.randrange(1, len(message))
+        writer.write(message[:cut])  # in two pieces, so that some are half read as a connection moves
+        await asyncio.sleep(self.dice.uniform(0.0, 0.005))
+        writer.write(message[cut:])
+        async with asyncio.timeout(TIME_LEFT + LATE):
+            answer = await self._hear(reader, call)
+        if answer.type != Type.ANSWER:
+            self.counts["turned_away"] += 1
+            return
+        if answer.parameters.get(Code.DESCRIPTION) != call:
+            self.counts["wrong"] += 1
+        await asyncio.sleep(self.dice.uniform(0.0, 0.3))
+        if self.dice.random() < 0.5:
+            writer.write(write_release(call, Cause.NORMAL))
+            async with asyncio.timeout(LATE):
+                while (await self._next(reader)).type != Type.RELEASE_HEARD:
+                    pass
+        else:
+            async with asyncio.timeout(ENDS):
+                if (await self._hear(reader, call)).type != Type.RELEASE:
+                    self.counts["doubled"] += 1
+
+    async def _hear(self, reader: asyncio.StreamReader, call: bytes) -> Message:
+        while (message := await self._next(reader)).type not in (Type.ANSWER, Type.RELEASE):
+            pass
+        if message.call != call:
+            self.counts["doubled"] += 1  # a second word on an earlier call
+            return await self._hear(reader, call)
+        return message
+
+    async def _next(self, reader: asyncio.StreamReader) -> Message:
+        while (body := next(split(self.begun), None)) is None:
+            data = await reader.read(65536)
+            if not data:
+                raise EOFError
+            self.begun += data
+        return read_message(body)
+
+
+async def end_calls(server: SessionServer, dice: random.Random) -> None:
+    """The server ends each call that has stood for a moment, but for those that its caller ends before."""
+    while True:
+        await asyncio.sleep(0.05)
+        for call in list(server.standing):
+            if dice.random() < 0.1:
+                server.finish(call)
+
+
+def two_out(servers: list[SessionServer]) -> int:
+    """Calls that had a second attempt out while the first was not over."""
+    spans: dict[bytes, list[tuple[float, float]]] = {}
+    for server in servers:
+        for one in server.arrivals:
+            spans.setdefault(one.call, []).append((one.at, one.over if one.over is not None else one.at))
+    return sum(
+        any(later[0] < earlier[1] for earlier, later in zip(sorted(times), sorted(times)[1:], strict=False))
+        for times in spans.values()
+    )
+
+
+async def measure(upgrades: int, seed: int, shared: bool) -> dict[str, Any]:
+    dice = random.Random(seed)
+    servers, board = [SessionServer(0), SessionServer(1)], Board()
+    for server in servers:
+        await server.start()
+    await board.start()
+    counts: Counter[str] = Counter()
+    proxy = Proxy(board, servers, None, operated=True, temporary=not shared)
+    await proxy.start()
+    callers = [Caller(proxy.callers, at + 1, at < KEPT, counts) for at in range(KEPT + FRESH)]
+    tasks = [asyncio.create_task(caller.run()) for caller in callers]
+    ending = [asyncio.create_task(end_calls(server, dice)) for server in servers]
+    descriptors, resident, failed = 0, 0.0, 0
+    for _ in range(upgrades):
+        await asyncio.sleep(dice.uniform(0.2, 0.6))
+        new = await proxy.successor()
+        await asyncio.sleep(dice.uniform(0.0, 0.1))
+        descriptors = max(descriptors, proxy.descriptors() + new.descriptors())
+        resident = max(resident, proxy.resident() + new.resident())
+        proxy.send(signal.SIGTERM)
+        failed += await proxy.ended() != 0
+        await proxy.kill()
+        proxy = new
+    await asyncio.sleep(0.3)
+    for caller in callers:
+        caller.stopping = True
+    await asyncio.gather(*tasks)
+    for task in ending:
+        task.cancel()
+    await proxy.kill()
+    for server in servers:
+        await server.stop()
+    await board.stop()
+    names = ("calls", "refused", "reset", "unread", "doubled", "missing", "wrong", "turned_away")
+    return {
+        "upgrades": upgrades,
+        **{name: counts[name] for name in names},
+        "two_out": two_out(servers),
+        "failed_ends": failed,
+        "peak_descriptors": descriptors,
+        "peak_rss_mb": round(resident, 1),
+    }
+
+
+FAULTS = ("refused", "reset", "unread", "doubled", "missing", "wrong", "two_out", "failed_ends")
+
+
+@click.command()
+@click.option("--upgrades", default=40, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--short", is_flag=True, help="the form that CI runs")
+@click.option("--shared", is_flag=True, help="without $TMPDIR: both listen by SO_REUSEPORT, for comparison")
+def main(upgrades: int, seed: int, short: bool, shared: bool) -> None:
+    result = asyncio.run(measure(4 if short else upgrades, seed, shared))
+    for name, value in result.items():
+        print(f"{name:<16} {value}")
+    print("RESULT " + json.dumps(result))
+    raise SystemExit(1 if any(result[name] for name in FAULTS) else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/martentide_lab/proxy.py
+++ b/martentide_lab/proxy.py
@@ -64,13 +64,22 @@
 class Proxy:
     """One running program. ``log`` holds its lines; ``address`` is the external processor's."""
 
-    def __init__(self, board: Board, servers: Sequence[SessionServer], extras: str | None) -> None:
-        self.board, self.servers, self.extras = board, servers, extras
-        self.folder = Path(tempfile.mkdtemp(prefix="martentide-"))
+    def __init__(
+        self,
+        board: Board,
+        servers: Sequence[SessionServer],
+        extras: str | None,
+        operated: bool = False,
+        folder: Path | None = None,
+        temporary: bool = True,  # whether the program has a $TMPDIR, in which a successor finds it
+    ) -> None:
+        self.board, self.servers, self.extras, self.operated = board, servers, extras, operated
+        self.temporary, self.listen = temporary, "127.0.0.1:0"
+        self.folder = folder or Path(tempfile.mkdtemp(prefix="martentide-"))
         self.process: asyncio.subprocess.Process | None = None
         self.log: list[str] = []
         self.heard = asyncio.Event()
-        self.address = self.callers = ""
+        self.address = self.callers = self.operator = ""
         self.reader: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Proxy:
@@ -87,9 +96,9 @@
     async def start(self) -> None:
         known = [endpoint(server) for server in self.servers]
         config = {
-            "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+            "name": "n0", "listen": self.listen, "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "board": self.board.address,
+            "board": self.board.address, **({"operator": "127.0.0.1:0"} if self.operated else {}),
             "known": {"rev": 1, "notices": [
                 {"rev": 1, "pool": {"index": 1, "snapshot": True, "endpoints": known}}]},
             "settings": site_settings(len(self.servers)),
@@ -101,15 +110,29 @@
         if self.extras is not None:
             command += ["--extras", str(self.folder / "extras.kdl")]
         environment = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
+        environment.pop("TMPDIR", None)
+        if self.temporary:
+            environment["TMPDIR"] = str(self.folder)
         self.process = await asyncio.create_subprocess_exec(
             *command, cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE, limit=1024 * 1024
         )
         self.reader = asyncio.create_task(self._read())
         line = await self.logged("serving ")
         self.callers = line.split("address=")[1].split()[0]
+        if self.operated:
+            self.operator = (await self.logged("operator-listening ")).split("address=")[1].split()[0]
+            await self.logged("state=in-service")
         if self.extras is not None and "external-processor" in self.extras:
             self.address = (await self.logged("external-processor ")).split("address=")[1].split()[0]
 
+    async def successor(self) -> Proxy:
+        """A second process of the same configuration and folder, started beside this one."""
+        other = Proxy(self.board, self.servers, self.extras, self.operated, self.folder, self.temporary)
+        if not self.temporary:
+            other.listen = self.callers
+        await other.start()
+        return other
+
     async def _read(self) -> None:
         assert self.process is not None and self.process.stderr is not None
         async for line in self.process.stderr:
@@ -149,6 +172,10 @@
         assert self.process is not None
         return float(psutil.Process(self.process.pid).memory_info().rss) / 1e6
 
+    def descriptors(self) -> int:
+        assert self.process is not None
+        return int(psutil.Process(self.process.pid).num_fds())
+
     def cpu(self) -> float:
         """Seconds of processor time used so far."""
         assert self.process is not None
