One cold budget for both processes of an upgrade; slow callers may write for 2.6 s

Need: old and new count as one proxy, and a new process started each cold server's budget anew. Cause of the second: callers that write a request for 2 s were ended at 1.5 s (STALL) or 2 s (probation, callers.py).

--- a/martentide/handover/wire.py
+++ b/martentide/handover/wire.py
@@ -56,6 +56,11 @@
     """The new process is to end, and accepts no more; the old one may again."""
 
 
+@dataclass(frozen=True, slots=True)
+class Moving:
+    """The old process was told to end: what it may still send is the new one's now."""
+
+
 @dataclass(frozen=True, slots=True)
 class MovedCalls:
     """Calls of a party without a link, all of which stand, and releases that it is owed, by call."""
@@ -100,10 +105,10 @@
     call: bytes
 
 
-Frame = Hello | Welcome | TurnedAway | Take | Taken | GiveBack | MovedCalls | MovedLink | Said | Left
+Frame = Hello | Welcome | TurnedAway | Take | Taken | GiveBack | Moving | MovedCalls | MovedLink | Said | Left
 KINDS: dict[str, type[Any]] = {
     kind.__name__: kind
-    for kind in (Hello, Welcome, TurnedAway, Take, Taken, GiveBack, MovedCalls, MovedLink, Said, Left)
+    for kind in (Hello, Welcome, TurnedAway, Take, Taken, GiveBack, Moving, MovedCalls, MovedLink, Said, Left)
 }
 
 
--- a/martentide/interface.py
+++ b/martentide/interface.py
@@ -217,6 +217,14 @@
     settings: Settings
 
 
+@dataclass(frozen=True, slots=True)
+class ColdShare:
+    """Another process of this proxy serves beside it (an upgrade): ``share`` (0 to 1) of what a cold server
+    may be sent is this process's; 1 again once it is alone."""
+
+    share: float
+
+
 @dataclass(frozen=True, slots=True)
 class TimerDue:
     """A timer set by SetTimer came due."""
@@ -233,6 +241,7 @@
     | ProbeEnded
     | PeerMessage
     | SettingsChanged
+    | ColdShare
     | TimerDue
 )
 
--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -23,7 +23,7 @@
 MOST_OWED = 20_000  # releases kept for a party without a connection
 PROBATION = 2.0  # s in which a new connection must have brought something that can be answered
 PROBATION_AGAIN = 0.25  # s until the next look while it waits for an answer or a release
-STALL = 1.5  # s in which a message begun by a caller must be whole
+STALL = 2.6  # s in which a message begun by a caller must be whole: some need 2 s to write one
 ACCEPTED_AT_A_TIME = 32  # connections that are accepted before the door looks at them
 MUTE_GRACE = 1.0  # s in which a new connection may bring its first byte before a drain closes it
 REST_AGAIN = 0.02  # s until the next look at a link that is to be closed and is not at rest
@@ -558,7 +558,8 @@
     def _probation_over(self, link: Link) -> None:
         if link not in self.mute:
             return
-        if self.open[link] or self.host[link] in self.calling:  # it waits for an answer or a release
+        # It waits for an answer or a release, or has begun a message, which has a limit of its own.
+        if self.open[link] or self.host[link] in self.calling or link.begun:
             self.loop.call_later(PROBATION_AGAIN, self._probation_over, link)
             return
         self.left(link)
--- a/martentide/net/decider.py
+++ b/martentide/net/decider.py
@@ -21,6 +21,7 @@
     AttemptEnded,
     CallerGone,
     CancelAttempt,
+    ColdShare,
     Ending,
     Event,
     Fail,
@@ -130,7 +131,9 @@
     connect_timeout: float
 
 
-Item = Offer | GiveUp | ReleaseIn | Stood | Ended | ProbeEnded | TimerDue | Overdue | Notice | Settle
+Item = (
+    Offer | GiveUp | ReleaseIn | Stood | Ended | ProbeEnded | TimerDue | Overdue | Notice | Settle | ColdShare
+)
 
 
 @dataclass(slots=True)
@@ -211,6 +214,10 @@
             case _:
                 self._feed(item)
 
+    def tell(self, event: Event) -> None:
+        """Tell the decisions at once: for the start, before the mailbox is read."""
+        self._feed(event)
+
     def _clock(self) -> float:
         """Unix time in ms that never runs backwards for the decisions."""
         self.now = max(self.now, unix_ms())
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -18,13 +18,14 @@
     Left,
     MovedCalls,
     MovedLink,
+    Moving,
     Said,
     Take,
     Taken,
     TurnedAway,
     Welcome,
 )
-from martentide.interface import Ending, ListKind, ProbeEnded, ServerState, Settings
+from martentide.interface import ColdShare, Ending, ListKind, ProbeEnded, ServerState, Settings
 from martentide.lifecycle import machine
 from martentide.lifecycle.calls import OUT_OF_SERVICE, READY
 from martentide.lifecycle.machine import Machine
@@ -43,6 +44,7 @@
     from martentide.net.learned import Store
 
 CALLERS_SHARE = 0.5  # of the descriptors: callers hold a third at most, old connections may overlap new ones
+BESIDE = 0.5  # of what a cold server may be sent is each process's, until the old one is told to end
 TAKE_LIMIT = 1.0  # s for the predecessor to accept no more
 MOST_CALLS = 24  # descriptors set aside for the operator's calls
 
@@ -251,6 +253,7 @@
             case machine.Yield():
                 assert self.channel is not None
                 self.callers.yield_to(self.channel.send)
+                self.decider.post(ColdShare(BESIDE))
                 if self.meeting is not None:
                     self.meeting.close(unlink=False)
                 self.channel.send(Taken())
@@ -258,9 +261,12 @@
             case machine.MoveOut():
                 if self.channel is not None:
                     log_event("upgrade", step="moving", links=len(self.callers.door.open))
+                    self.decider.post(ColdShare(0.0))
+                    self.channel.send(Moving())
                     self.callers.move_out(self.channel.send)
             case machine.AcceptAgain():
                 log_event("upgrade", step="accepting-again")
+                self.decider.post(ColdShare(1.0))
                 self.accepting = self.loop.create_task(self.callers.accept(), name="accept")
             case machine.LetGoOfSuccessor():
                 self.channel = None
@@ -271,6 +277,7 @@
             case machine.LetGoOfPredecessor():
                 self.channel = None
                 log_event("upgrade", step="alone")
+                self.decider.post(ColdShare(1.0))
                 self.callers.orphaned()
 
     async def _hear_successor(self, channel: Channel) -> None:
@@ -288,6 +295,8 @@
         while (heard := await channel.heard.get()) is not None:
             frame, descriptor = heard
             match frame:
+                case Moving():
+                    self.decider.post(ColdShare(1.0))
                 case MovedLink() | MovedCalls():
                     await self.callers.move_in(frame, descriptor)
                 case Said():
@@ -301,6 +310,8 @@
             self.meeting = Meeting(path, self.asked_for)
             hello = Hello(VERSION, self.config.name, str(self.config.listen))
             self.found = await find_predecessor(path, hello)
+            if self.found is not None:
+                self.decider.tell(ColdShare(BESIDE))
 
     async def listen(self) -> None:
         """Open the callers' listener: the predecessor's, where there is one, or a new one."""
--- a/martentide/rules.py
+++ b/martentide/rules.py
@@ -15,9 +15,9 @@
 from dataclasses import dataclass, field
 
 from martentide.interface import (
-    Action, AttemptEnded, CallClass, CallerGone, CancelAttempt, Ending, Event, Fail, FollowList, ListKind,
-    PeerMessage, Probe, ProbeEnded, Refuse, Repeat, Report, ReportBy, SendSetUp, ServerEntry, ServerList,
-    ServerState, SetTimer, Settings, SettingsChanged, SetUpOffered, Stands, TellPeer, TimerDue,
+    Action, AttemptEnded, CallClass, CallerGone, CancelAttempt, ColdShare, Ending, Event, Fail, FollowList,
+    ListKind, PeerMessage, Probe, ProbeEnded, Refuse, Repeat, Report, ReportBy, SendSetUp, ServerEntry,
+    ServerList, ServerState, SetTimer, Settings, SettingsChanged, SetUpOffered, Stands, TellPeer, TimerDue,
 )  # fmt: skip
 
 # ---- fleet ----------------------------------------------------------------------------------------------
@@ -193,6 +193,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.random = random.Random(seed)
         self.taken: dict[str, deque[float]] = {}
+        self.own_share = 1.0  # of a cold server's budget, beside another process of this proxy
         self._settle(settings)
         self.first_tries: dict[str, float] = {}
         self.peer_rates: dict[int, tuple[float, list[float]]] = {}
@@ -248,6 +249,8 @@
             case SettingsChanged(settings):
                 self._settle(settings)
                 self.peer_rates.clear()  # their order is that of the tenants told of before
+            case ColdShare(share):
+                self.own_share = share
             case TimerDue(token) if token == TICK_TOKEN:
                 self.ticking = False
                 self._serve(now)
@@ -284,6 +287,8 @@
         """Take the server for cold; of many proxies some may send at once, the rest in turn."""
         server.cold_from, server.cold_filled = since, now
         server.cold_tokens = self.part + (1.0 - self.part) * self.random.random()
+        if self.own_share < 1.0:
+            server.cold_tokens = 0.0  # the other process may have spent the first burst
 
     # ---- calls ------------------------------------------------------------------------------------------
 
@@ -665,7 +670,12 @@
             return None
         linear = rules.cold_share + (1.0 - rules.cold_share) * max(0.0, age) / rules.cold_time
         share = min(linear, COLD_USE * rules.fall_multiple * rules.cold_share)
-        rate = max(self.pace * server.entry.size, BOUND_FLOOR * self.part) * share * server.cold_trust
+        rate = (
+            max(self.pace * server.entry.size, BOUND_FLOOR * self.part)
+            * share
+            * server.cold_trust
+            * self.own_share
+        )
         filled = server.cold_tokens + rate * (now - server.cold_filled) / 1000.0
         server.cold_tokens, server.cold_filled = min(COLD_DEPTH, filled), now
         return server.cold_tokens
--- a/tests/net/test_operating.py
+++ b/tests/net/test_operating.py
@@ -8,10 +8,17 @@
 from pathlib import Path
 from typing import Any
 
-from martentide.codec.messages import Code, Type
+from martentide.codec.messages import Code, Type, write_message
 from tests.net.support import LIMIT, Program, Wire
 from tests.net.test_rules_on_sockets import A, B, stand
 
+SET_UP: dict[int, bytes] = {
+    Code.CLASS: b"voice",
+    Code.TIME_LEFT: b"3000",
+    Code.NUMBER: b"7f3a",
+    Code.FIGURES: b"dest:0;width:1;via:-1",
+    Code.DESCRIPTION: b"d",
+}
 READY, OUT, IN = "/control/ready", "/control/out-of-service", "/control/in-service"
 
 
@@ -164,3 +171,30 @@
         program.logged("reloaded .*revision=1 settings=same")
         board.exactly(8)
         stand(program.caller(), program.servers[0].accept())
+
+
+def test_in_a_crowd_that_never_finishes_slow_callers_and_the_operator_are_served(tmp_path: Path) -> None:
+    """More connections than descriptors, each with half a set-up; one true caller writes for 2 s."""
+    with Program(tmp_path, operated=True) as program:
+        server = program.servers[0].accept()
+        whole = write_message(Type.SET_UP, B, SET_UP)
+        crowd = []
+        for at in range(90):
+            wire = program.caller(f"127.0.0.{10 + at}")
+            wire.sock.sendall(whole[: 3 + at % 40])
+            crowd.append(wire)
+        slow = program.caller("127.0.0.9")
+        for part in range(5):
+            slow.sock.sendall(whole[part * len(whole) // 5 : (part + 1) * len(whole) // 5])
+            began = time.monotonic()
+            assert program.call("GET", READY) == 200 and time.monotonic() - began < 1.0
+            time.sleep(0.45 if part < 4 else 0.0)
+        assert server.receive(Type.SET_UP).call == B
+        program.terminate()
+        server.send(Type.ANSWER, B, {Code.DESCRIPTION: b"x"})
+        assert slow.receive().type == Type.ANSWER
+        assert program.call("GET", READY) == 503
+        server.release(B, 16)
+        assert slow.receive().type == Type.RELEASE
+        assert program.process.wait(LIMIT) == 0
+        assert not [line for line in program.log if "internal-error" in line or "Too many open" in line]
--- a/tests/net/test_upgrade.py
+++ b/tests/net/test_upgrade.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import stat
 import subprocess
@@ -14,6 +15,7 @@
 
 from martentide.codec.messages import Code, Type, write_message
 from martentide.handover.wire import Hello, write_frame
+from martentide.net.callers import LEAST_DOOR, Callers
 from tests.net.support import LIMIT, ROOT, Program, Wire
 from tests.net.test_rules_on_sockets import A, B, stand
 
@@ -199,3 +201,16 @@
             stranger.send(write_frame(Hello(99, "n0", "127.0.0.1:0")))
             assert b"version" in stranger.recv(1024) and stranger.recv(1024) == b""
         stand(program.caller(), program.servers[0].accept())
+
+
+def test_both_processes_have_one_budget_of_descriptors() -> None:
+    async def scene() -> None:
+        callers = Callers(100, lambda item: None)
+        callers.beside(lambda left: None, 70)
+        assert callers.door.most == 30
+        callers.beside(lambda left: None, 99)
+        assert callers.door.most == LEAST_DOOR
+        callers.orphaned()
+        assert callers.door.most == 100
+
+    asyncio.run(scene())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -14,6 +14,7 @@
     CallClass,
     CallerGone,
     CancelAttempt,
+    ColdShare,
     Ending,
     Fail,
     ListKind,
@@ -243,6 +244,23 @@
     assert 1.0 <= server.cold_trust < trusted
 
 
+def cold_sent(share: float | None) -> int:
+    """Set-ups that reach a cold server in 5 s, with such a share of its budget."""
+    bench = Bench(servers=1)
+    steady(bench, 80, gap=100.0)
+    if share is not None:
+        bench.feed(ColdShare(share))
+    bench.feed(ServerList(ListKind.WHOLE, (entry("new", 5, started=bench.now),)))
+    return len(steady(bench, 50, gap=100.0, first=5))
+
+
+def test_two_processes_of_one_proxy_share_a_cold_servers_budget() -> None:
+    alone, half = cold_sent(None), cold_sent(0.5)
+    assert 0 < 2 * half <= alone
+    assert cold_sent(0.0) == 0
+    assert cold_sent(1.0) == alone
+
+
 def test_a_restart_in_the_list_is_cold_again() -> None:
     bench = Bench()
     bench.feed(ServerList(ListKind.CHANGES, (entry("s0", 0, started=bench.now - 500.0),)))
