--- a/tests/lifecycle/test_wire.py
+++ b/tests/lifecycle/test_wire.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from martentide.handover.wire import (
@@ -38,6 +38,7 @@
 )
 
 
+@settings(derandomize=True)
 @given(frames)
 def test_there_and_back(frame: Frame) -> None:
     assert read_frame(write_frame(frame)) == frame
@@ -57,6 +58,7 @@
         read_frame(raw)
 
 
+@settings(derandomize=True)
 @given(frames, st.data())
 def test_a_frame_that_is_cut_short_is_none(frame: Frame, data: st.DataObject) -> None:
     raw = write_frame(frame)
