Yield the listener without resetting what was accepted in the same turn

Cause: callers.py, pause closed the asyncio server in the turn in which it had accepted a connection, whose transport is made a turn later and can't be then. Change: the listener leaves the loop first and is closed 0.1 s later; a party that comes after the move goes too. Ruled out: the hand-over of open connections (a test drives accept and yield in one turn: it fails without the change).

--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -28,6 +28,7 @@
 MUTE_GRACE = 1.0  # s in which a new connection may bring its first byte before a drain closes it
 REST_AGAIN = 0.02  # s until the next look at a link that is to be closed and is not at rest
 LEAST_DOOR = 8  # descriptors that callers have at least, beside a predecessor's connections
+ACCEPTED_BY = 0.1  # s for what was accepted to reach its party, before the listener is closed
 MOVE_LIMIT = 1.0  # s in which a link must be ready to go to the successor
 MOVE_AGAIN = 0.005  # s until the next look at one that is not
 WAITING = 1024  # connections that wait in the system to be accepted
@@ -361,7 +362,8 @@
     def _move_out(self, send: Send) -> None:
         """Hand the party over: first what belongs to no link, then each link as soon as it can go."""
         self.moving = send
-        standing = [call for call, record in self.records.items() if record.stands and record.link is None]
+        linkless = {call: record for call, record in self.records.items() if record.link is None}
+        standing = [call for call, record in linkless.items() if record.stands and not record.moved]
         owed = list(self.owed.items())
         self.owed.clear()
         for at in range(0, max(len(standing), len(owed)), MOST_RECORDS):
@@ -574,6 +576,7 @@
         self.parties: dict[str, Party] = {}
         self.socket: socket.socket | None = None
         self.server: asyncio.Server | None = None
+        self.moving: Send | None = None  # to the successor, once all parties go there
 
     def bind(self, address: Address, shared: bool = False) -> None:
         """Bind the listening socket; ``shared``: a second process may bind the same address beside it."""
@@ -606,7 +609,10 @@
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         host = (writer.get_extra_info("peername") or ("unknown", 0))[0]
-        self._party(host).welcome(reader, writer)
+        party = self._party(host)
+        party.welcome(reader, writer)
+        if self.moving is not None:
+            party.post(MoveOut(self.moving))
 
     def _party(self, host: str) -> Party:
         if host not in self.parties:
@@ -614,9 +620,16 @@
         return self.parties[host]
 
     def pause(self) -> None:
-        """Accept no more; who connects waits in the queue of the socket, which is kept."""
+        """Accept no more; who connects waits in the queue of the socket, which is kept.
+
+        Guards against the reset of a connection that was accepted in this very turn: asyncio makes its
+        transport a turn later, and can't once the server is closed.
+        """
         if self.server is not None:
-            self.server.close()
+            loop = asyncio.get_running_loop()
+            for sock in self.server.sockets:
+                loop.remove_reader(sock.fileno())
+            loop.call_later(ACCEPTED_BY, self.server.close)
             self.server = None
 
     def close(self) -> None:
@@ -630,6 +643,7 @@
 
     def move_out(self, send: Send) -> None:
         """Hand all parties over; MovedLink comes for each link as soon as it can go."""
+        self.moving = send
         for party in list(self.parties.values()):
             party.post(MoveOut(send))
 
@@ -670,7 +684,7 @@
 
     def successor_gone(self) -> None:
         """Connections that it had are over."""
-        self.door.successor = None
+        self.door.successor = self.moving = None
         for party in list(self.parties.values()):
             party.post(Deserted())
 
--- a/tests/net/test_upgrade.py
+++ b/tests/net/test_upgrade.py
@@ -16,6 +16,7 @@
 from martentide.codec.messages import Code, Type, write_message
 from martentide.handover.wire import Hello, write_frame
 from martentide.net.callers import LEAST_DOOR, Callers
+from martentide.net.config import Address
 from tests.net.support import LIMIT, ROOT, Program, Wire
 from tests.net.test_rules_on_sockets import A, B, stand
 
@@ -214,3 +215,26 @@
         assert callers.door.most == 100
 
     asyncio.run(scene())
+
+
+def test_a_connection_accepted_in_the_turn_of_the_yield_is_not_reset() -> None:
+    async def scene() -> None:
+        offers: list[object] = []
+        callers = Callers(100, offers.append)
+        callers.bind(Address("127.0.0.1", 0))
+        await callers.accept()
+        assert callers.server is not None
+        port = callers.addresses()[0][1]
+        with socket.create_connection(("127.0.0.1", port), LIMIT) as caller:
+            # What the loop does as the listener turns readable, and in the same turn the word to yield.
+            listener = callers.server.sockets[0]
+            loop = asyncio.get_running_loop()
+            loop._selector.get_key(listener.fileno()).data[0]._run()  # type: ignore[attr-defined]
+            callers.pause()
+            caller.setblocking(False)
+            await loop.sock_sendall(caller, write_message(Type.TEST, C, {Code.CAUSE: b"\0"}))
+            async with asyncio.timeout(LIMIT):
+                assert await loop.sock_recv(caller, 100)
+        callers.close()
+
+    asyncio.run(scene())
