--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -24,7 +24,11 @@
 MOST_OWED = 20_000  # releases kept for a party without a connection
 PROBATION = 2.0  # s in which a new connection must have brought something that can be answered
 PROBATION_AGAIN = 0.25  # s until the next look while it waits for an answer or a release
-STALL = 2.6  # s in which a message begun by a caller must be whole: some need 2 s to write one
+STALL = 1.5  # s in which a message begun by a caller must be whole
+SLOW_STALL = 2.6  # s instead, on a connection that came while there was room: some need 2 s to write one
+ROOM = (
+    0.75  # of the door's descriptors in use, above which there is none: half messages must not hold the rest
+)
 ACCEPTED_AT_A_TIME = 32  # connections that are accepted before the door looks at them
 MUTE_GRACE = 1.0  # s in which a new connection may bring its first byte before a drain closes it
 REST_AGAIN = 0.02  # s until the next look at a link that is to be closed and is not at rest
@@ -197,14 +201,14 @@
 
     def welcome(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         port = (writer.get_extra_info("peername") or (self.host, 0))[1]
-        link = Link("caller", f"{self.host}:{port}", (reader, writer), self.post, STALL)
+        link = Link("caller", f"{self.host}:{port}", (reader, writer), self.post, self.door.stall)
         self.post(Opened(link))
         self.door.arrived(link, self.host)
 
     def take_over(self, frame: MovedLink, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """A link of the predecessor's, with what it had read of a message."""
         peer = f"{self.host}:{frame.port}"
-        link = Link("caller", peer, (reader, writer), self.post, STALL, frame.begun)
+        link = Link("caller", peer, (reader, writer), self.post, self.door.stall, frame.begun)
         self.post(MoveIn(frame, link))
         self.door.arrived(link, self.host)
 
@@ -471,6 +475,11 @@
         self.predecessor: Callable[[Left], None] | None = None  # hears of calls that are its own
         self.successor: Send | None = None  # has the callers' new connections
 
+    @property
+    def stall(self) -> float:
+        """The time that a connection which comes now has for a message."""
+        return SLOW_STALL if len(self.open) < ROOM * self.most else STALL
+
     def arrived(self, link: Link, host: str) -> None:
         self.open[link], self.standing[link], self.host[link] = 0, 0, host
         self.mute[link] = None
@@ -560,7 +569,7 @@
         if link not in self.mute:
             return
         # It waits for an answer or a release, or has begun a message, which has a limit of its own.
-        if self.open[link] or self.host[link] in self.calling or link.begun:
+        if self.open[link] or self.host[link] in self.calling or (link.begun and link.stall > PROBATION):
             self.loop.call_later(PROBATION_AGAIN, self._probation_over, link)
             return
         self.left(link)
--- a/tests/net/test_operating.py
+++ b/tests/net/test_operating.py
@@ -174,12 +174,12 @@
 
 
 def test_in_a_crowd_that_never_finishes_slow_callers_and_the_operator_are_served(tmp_path: Path) -> None:
-    """More connections than descriptors, each with half a set-up; one true caller writes for 2 s."""
+    """Half set-ups, at last on more connections than there are descriptors; one caller writes for 2 s."""
     with Program(tmp_path, operated=True) as program:
         server = program.servers[0].accept()
         whole = write_message(Type.SET_UP, B, SET_UP)
         crowd = []
-        for at in range(90):
+        for at in range(20):
             wire = program.caller(f"127.0.0.{10 + at}")
             wire.sock.sendall(whole[: 3 + at % 40])
             crowd.append(wire)
@@ -190,6 +190,12 @@
             assert program.call("GET", READY) == 200 and time.monotonic() - began < 1.0
             time.sleep(0.45 if part < 4 else 0.0)
         assert server.receive(Type.SET_UP).call == B
+        for at in range(90):
+            wire = program.caller(f"127.0.0.{10 + at}")
+            wire.sock.sendall(whole[: 3 + at % 40])
+            crowd.append(wire)
+        began = time.monotonic()
+        assert program.call("GET", READY) == 200 and time.monotonic() - began < 1.0
         program.terminate()
         server.send(Type.ANSWER, B, {Code.DESCRIPTION: b"x"})
         assert slow.receive().type == Type.ANSWER
