Keep a long queue at the operator's listener: a dropped connect costs a second

Probe: with a queue of 8 (as many as are accepted at a time) the slowest of 100 connects takes 1.031 s, with 128 it takes 1 ms: the system drops what finds the queue full, and it is sent again after a second. Fault: control.py, listen. Ruled out: the loop (the call was not there yet). Change: the queue is 256 long; a test stops the process under 60 connects and fails without the line.

--- a/martentide/net/control.py
+++ b/martentide/net/control.py
@@ -16,6 +16,7 @@
 
 CALL_LIMIT = 0.8  # s in which a call must be whole; every answer is owed within 1 s
 LINGER = 0.3  # s for the caller to take its answer and close
+WAITING = 256  # connections that wait in the system to be accepted
 AT_ONCE = 4096  # bytes read at a time
 
 Ask = Callable[[str], Awaitable[tuple[int, str]]]
@@ -31,9 +32,11 @@
         self.server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> None:
-        self.server = await asyncio.start_server(
-            self._serve, sock=bound(address), backlog=self.most, limit=AT_ONCE
-        )
+        # So many are accepted at a time, whatever waits. The queue of those that wait is long: where it is
+        # full the system drops a connect, which is tried again a second later, too late for its answer.
+        listener = bound(address)
+        self.server = await asyncio.start_server(self._serve, sock=listener, backlog=self.most, limit=AT_ONCE)
+        listener.listen(WAITING)
 
     def addresses(self) -> list[tuple[str, int]]:
         return [sock.getsockname()[:2] for sock in self.server.sockets] if self.server else []
--- a/tests/net/test_operating.py
+++ b/tests/net/test_operating.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import select
+import signal
 import socket
 import time
 from pathlib import Path
@@ -204,3 +206,23 @@
         assert slow.receive().type == Type.RELEASE
         assert program.process.wait(LIMIT) == 0
         assert not [line for line in program.log if "internal-error" in line or "Too many open" in line]
+
+
+def test_a_burst_of_connects_while_the_program_is_held_up_drops_none(tmp_path: Path) -> None:
+    """A connect that the system drops is tried again after a second, too late for an operator's answer."""
+    with Program(tmp_path, operated=True) as program:
+        program.process.send_signal(signal.SIGSTOP)
+        burst = [socket.socket() for _ in range(60)]
+        for sock in burst:
+            sock.setblocking(False)
+            sock.connect_ex(("127.0.0.1", program.operator))
+        _, connected, _ = select.select([], burst, [], 0.5)
+        while len(connected) < len(burst) and connected:
+            left = [sock for sock in burst if sock not in connected]
+            _, more, _ = select.select([], left, [], 0.2)
+            if not more:
+                break
+            connected += more
+        program.process.send_signal(signal.SIGCONT)
+        assert len(connected) == len(burst)
+        assert program.call("GET", READY) == 200
