--- a/martentide/cli.py
+++ b/martentide/cli.py
@@ -131,6 +131,26 @@
     sys.exit(1 if lines else 0)
 
 
+@top.group("fleet", help="Look at the fleet that a running proxy is a member of.")
+def fleet() -> None:
+    pass
+
+
+@fleet.command("show", help="Members, their states, ages and facets, as the proxy knows them.")
+@click.option("--operator", metavar="HOST:PORT", envvar="PROXY_OPERATOR", required=True,
+              help="where the proxy's operator's calls come in; default: $PROXY_OPERATOR")  # fmt: skip
+@click.option("--json", "as_json", is_flag=True, help="as JSON")
+def fleet_show(operator: str, as_json: bool) -> None:
+    from martentide.net.fleet.show import AskError, ask, table
+
+    try:
+        status = ask(operator)
+    except AskError as error:
+        click.echo(f"martentide: {operator}: {error}", err=True)
+        sys.exit(CANNOT_LISTEN)
+    click.echo(status if as_json else table(status))
+
+
 def load_or_exit(config: str | None, extras: str | None) -> Config:
     try:
         return load_config(os.environ, config, extras)
--- a/martentide/extras.py
+++ b/martentide/extras.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import difflib
+import ipaddress
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Annotated, Any, TypeVar
@@ -17,6 +18,7 @@
 from martentide.extproc.ledger import Terms
 from martentide.extproc.limits import Limits
 from martentide.extproc.sessions import SessionTerms
+from martentide.fleet.terms import Terms as FleetTerms
 from martentide.interface import Settings
 from martentide.learned.pacing import Pace
 
@@ -147,12 +149,50 @@
         return Pace(period=self.times.period_ms, gap=self.times.gap_ms)
 
 
+class TimesOfFleet(Node, frozen=True):
+    period_ms: Annotated[float, msgspec.Meta(ge=50, le=10_000)] = 200.0
+    probe_timeout_ms: Annotated[float, msgspec.Meta(ge=10, le=5_000)] = 90.0
+    suspicion_ms: Annotated[float, msgspec.Meta(ge=200, le=60_000)] = 1_200.0
+    gossip_ms: Annotated[float, msgspec.Meta(ge=20, le=5_000)] = 100.0
+
+
+class LimitsOfFleet(Node, frozen=True):
+    bytes_s: Annotated[float, msgspec.Meta(ge=1_000, le=10_000_000)] = 5_000.0
+    most_members: Annotated[int, msgspec.Meta(ge=2, le=2_048)] = 2_048
+
+
+class Fleet(msgspec.Struct, frozen=True):
+    """Proxies that know each other; ``advertise``: the address that others are told, where it is another."""
+
+    name: str
+    listen: tuple[str, int]
+    zone: str = ""
+    advertise: tuple[str, int] | None = None
+    seeds: tuple[tuple[str, int], ...] = ()
+    secret: str = ""
+    times: TimesOfFleet = TimesOfFleet()
+    limits: LimitsOfFleet = LimitsOfFleet()
+
+    def terms(self) -> FleetTerms:
+        times = self.times
+        return FleetTerms(
+            period=times.period_ms,
+            probe_timeout=times.probe_timeout_ms,
+            suspicion_least=times.suspicion_ms,
+            suspicion_most=2.0 * times.suspicion_ms,
+            gossip_gap=times.gossip_ms,
+            bytes_s=self.limits.bytes_s,
+            most_members=self.limits.most_members,
+        )
+
+
 class Extras(msgspec.Struct, frozen=True):
     """The whole file; what is None is off."""
 
     path: str
     external_processor: ExternalProcessor | None = None
     learned_state: LearnedState | None = None
+    fleet: Fleet | None = None
 
     @property
     def dials(self) -> bool:
@@ -165,6 +205,8 @@
             on.append(f"external processor ({', '.join(front.services)}) on {front.listen}")
         if (state := self.learned_state) is not None:
             on.append(f"learned state in {state.folder}")
+        if (fleet := self.fleet) is not None:
+            on.append(f"member of the fleet {fleet.name} at {fleet.listen[0]}:{fleet.listen[1]}")
         return f"{self.path}: {'; '.join(on) or 'nothing is turned on'}"
 
 
@@ -211,7 +253,9 @@
         if node.args or node.properties:
             raise ExtrasError(f"{where}: takes no values of its own, its figures stand in nodes inside")
         found[node.name] = TOP[node.name](node, path)
-    return Extras(path, found.get("external-processor"), found.get("learned-state"))
+    if "fleet" in found and not settings.may_tell_peers:
+        raise ExtrasError(f"{path}: fleet: the settings forbid talk between proxies (limits.peers is false)")
+    return Extras(path, found.get("external-processor"), found.get("learned-state"), found.get("fleet"))
 
 
 def _bad_line(text: str) -> int:
@@ -232,9 +276,7 @@
     for child, here in _children(node, where):
         if child.name == "listen":
             values["listen"] = _one(child, str, "an address HOST:PORT", here)
-            host, colon, port = values["listen"].rpartition(":")
-            if not colon or not host or not port.isdecimal() or int(port) > 65535:
-                raise ExtrasError(f"{here}: expected HOST:PORT, found {values['listen']!r}")
+            _address(values["listen"], here)
         elif child.name == "own-links":
             values["own-links"] = _one(child, bool, "#true or #false", here)
         elif child.name == "services":
@@ -271,9 +313,61 @@
     return LearnedState(**values)
 
 
+def _address(text: Any, where: str) -> tuple[str, int]:
+    host, colon, port = str(text).rpartition(":")
+    if not isinstance(text, str) or not colon or not host or not port.isdecimal() or int(port) > 65535:
+        raise ExtrasError(f"{where}: expected HOST:PORT, found {text!r}")
+    return host, int(port)
+
+
+def _dotted(text: Any, where: str) -> tuple[str, int]:
+    """An address of datagrams: members are told it as it is, so it is not looked up."""
+    host, port = _address(text, where)
+    try:
+        return str(ipaddress.IPv4Address(host)), port
+    except ValueError:
+        raise ExtrasError(f"{where}: expected an IPv4 address, found {host!r}") from None
+
+
+def _fleet(node: ckdl.Node, path: str) -> Fleet:
+    where = f"{path}: {node.name}"
+    values: dict[str, Any] = {}
+    texts = {"name": 64, "zone": 64, "secret": 256}  # and their longest
+    addresses = ("listen", "advertise")
+    parts: dict[str, type[Node]] = {"times": TimesOfFleet, "limits": LimitsOfFleet}
+    for child, here in _children(node, where):
+        if child.name in texts:
+            values[child.name] = text = _one(child, str, "a text", here)
+            if not 1 <= len(text.encode()) <= texts[child.name]:
+                raise ExtrasError(f"{here}: expected 1 to {texts[child.name]} bytes, found {text!r}")
+        elif child.name in addresses:
+            values[child.name] = _dotted(_one(child, str, "an address HOST:PORT", here), here)
+        elif child.name == "seeds":
+            if not 1 <= len(child.args) <= 32 or child.properties or child.children:
+                raise ExtrasError(f"{here}: expected 1 to 32 addresses HOST:PORT, found {len(child.args)}")
+            values["seeds"] = tuple(_dotted(one, here) for one in child.args)
+        elif child.name in parts:
+            values[child.name] = _part(child, parts[child.name], here)
+        else:
+            raise ExtrasError(
+                f"{here}: unknown node{_nearest(child.name, [*texts, *addresses, 'seeds', *parts])}"
+            )
+    for name in ("name", "listen"):
+        if name not in values:
+            raise ExtrasError(f"{where}: expected a node {name}, found none")
+    advertised = values.get("advertise", values["listen"])
+    if advertised[0] == "0.0.0.0":
+        raise ExtrasError(f"{where}: expected an address that others can reach (advertise), found 0.0.0.0")
+    fleet = Fleet(**values)
+    if fleet.times.probe_timeout_ms >= fleet.times.period_ms:
+        raise ExtrasError(f"{where}/times: expected probe-timeout-ms below period-ms, found {fleet.times}")
+    return fleet
+
+
 TOP: dict[str, Callable[[ckdl.Node, str], Any]] = {
     "external-processor": _external_processor,
     "learned-state": _learned_state,
+    "fleet": _fleet,
 }
 
 
--- /dev/null
+++ b/martentide/fleet/wire.py
@@ -0,0 +1,217 @@
+"""Datagrams between members: frame, check and entries. Nothing here decides.
+
+    datagram = "mt" version:1 fleet:4 body check:8      body is MessagePack, an array for each entry
+
+``check`` is a keyed BLAKE2s over all before it; its key is the fleet's name and its secret, if one is set. So
+noise, other fleets and (with a secret) strangers fall out at the same place, before anything is decoded.
+Entries are arrays whose further elements a reader passes over, so that a later version may add some.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Sequence
+from enum import Enum, IntEnum
+
+import msgspec
+
+from martentide.fleet.terms import DATAGRAM
+
+MAGIC, VERSION = b"mt", 1
+HEAD = len(MAGIC) + 1 + 4
+CHECK = 8
+
+
+class Bad(Enum):
+    """Why a datagram was passed over; each has a counter."""
+
+    STRANGE = "strange"  # not ours at all
+    OTHER_FLEET = "other-fleet"
+    OTHER_VERSION = "other-version"
+    DAMAGED = "damaged"
+    MALFORMED = "malformed"
+    OVERSIZED = "oversized"
+
+
+class Unreadable(Exception):
+    def __init__(self, why: Bad) -> None:
+        super().__init__(why.value)
+        self.why = why
+
+
+class State(IntEnum):
+    """Ordered: of two words on one incarnation the later state counts."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class Kind(IntEnum):
+    PING = 1  # answer me
+    ACK = 2
+    ASK_PING = 3  # ping ``target`` for me
+    NACK = 4  # I tried, it has not answered yet: I am well at least
+    NEWS = 5
+    DIGEST = 6  # sums of all that I know, bucket by bucket
+    VERSIONS = 7  # what I hold of the buckets that differ; send what I lack
+    LACKING = 8  # what you lack by a comparison: none of it is news
+
+
+Name = str
+
+
+class MemberWord(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """What is said of one member. ``life`` is drawn anew by each process, so that two under one name and one
+    generation can be told apart."""
+
+    name: Name
+    generation: int
+    life: int
+    incarnation: int
+    state: int
+    zone: str
+    host: str
+    port: int
+    by: str = ""  # who accuses it, where it is suspect or dead
+
+    def rank(self) -> tuple[int, int, int]:
+        """Of two words on one life the higher counts: the dead are raised only by their own refutation."""
+        return (1 if self.state == State.LEFT else 0, self.incarnation, self.state)
+
+
+class FacetWord(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """One facet of one member, as its owner said it; ``age`` in ms is the only thing that others change."""
+
+    owner: Name
+    generation: int
+    life: int
+    kind: int
+    counter: int
+    schema: int
+    age: int
+    end: int  # ms of age from which it counts for nothing
+    body: bytes
+
+    @property
+    def version(self) -> tuple[int, int]:
+        return (self.generation, self.counter)
+
+
+class Held(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """What a member holds of another: its word's place and the facets' counters."""
+
+    name: Name
+    generation: int
+    life: int
+    incarnation: int
+    state: int
+    facets: dict[int, int]
+
+
+class Datagram(msgspec.Struct, array_like=True, frozen=True, gc=False):
+    """``stamp`` means nothing to the reader, who gives it back as ``echo`` with the ms it was kept: so the
+    sender of that stamp can bound how old all in this datagram is, by its own clock alone."""
+
+    kind: int
+    sender: MemberWord
+    to: int  # life of the process meant, 0 where it is not known
+    stamp: int
+    echo: int = -1  # -1: none
+    kept: int = 0
+    probe: int = 0
+    target: Name = ""
+    members: list[MemberWord] = []
+    facets: list[FacetWord] = []
+    digest: list[int] = []
+    buckets: list[int] = []
+    held: list[Held] = []
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Datagram)
+
+
+class Frame:
+    """Datagrams of one fleet."""
+
+    def __init__(self, fleet: str, secret: str = "") -> None:
+        self.key = hashlib.blake2s(f"{fleet}\0{secret}".encode()).digest()
+        self.head = MAGIC + bytes((VERSION,)) + hashlib.blake2s(fleet.encode(), digest_size=4).digest()
+
+    def _check(self, data: bytes) -> bytes:
+        return hashlib.blake2s(data, digest_size=CHECK, key=self.key).digest()
+
+    def write(self, datagram: Datagram) -> bytes:
+        data = self.head + _ENCODER.encode(datagram)
+        return data + self._check(data)
+
+    def read(self, data: bytes) -> Datagram:
+        """Raises Unreadable."""
+        if len(data) > DATAGRAM:
+            raise Unreadable(Bad.OVERSIZED)
+        if len(data) < HEAD + CHECK or data[:2] != MAGIC:
+            raise Unreadable(Bad.STRANGE)
+        if data[2] != VERSION:
+            raise Unreadable(Bad.OTHER_VERSION)
+        if data[3:HEAD] != self.head[3:]:
+            raise Unreadable(Bad.OTHER_FLEET)
+        if self._check(data[:-CHECK]) != data[-CHECK:]:
+            raise Unreadable(Bad.DAMAGED)
+        try:
+            said = _DECODER.decode(data[HEAD:-CHECK])
+        except (msgspec.DecodeError, msgspec.ValidationError, RecursionError):
+            raise Unreadable(Bad.MALFORMED) from None
+        if not sound(said):
+            raise Unreadable(Bad.MALFORMED)
+        return said
+
+
+def sound(said: Datagram) -> bool:
+    """Whether all figures are such as a member could have said: a liar may not fill tables with the rest."""
+    return (
+        all(_sound_member(word) for word in (said.sender, *said.members))
+        and all(_sound_facet(word) for word in said.facets)
+        and all(1 <= len(one.name) <= 64 and len(one.facets) <= 64 for one in said.held)
+        and said.kept >= 0
+    )
+
+
+def _sound_member(word: MemberWord) -> bool:
+    return (
+        1 <= len(word.name) <= 64
+        and len(word.zone) <= 64
+        and len(word.by) <= 64
+        and 7 <= len(word.host) <= 45
+        and 0 < word.port < 65536
+        and 0 <= word.state <= State.LEFT
+        and 0 <= word.generation < 1 << 48
+        and 0 <= word.incarnation < 1 << 48
+        and 0 < word.life < 1 << 63
+    )
+
+
+def _sound_facet(word: FacetWord) -> bool:
+    return (
+        1 <= len(word.owner) <= 64
+        and 0 <= word.kind < 256
+        and 0 <= word.generation < 1 << 48
+        and 0 <= word.counter < 1 << 48
+        and word.age >= 0
+        and 0 < word.end <= 3_600_000
+    )
+
+
+def size(entry: MemberWord | FacetWord | Held) -> int:
+    """Bytes it takes in a datagram."""
+    return len(_ENCODER.encode(entry))
+
+
+def fitting(entries: Sequence[MemberWord | FacetWord | Held], room: int) -> int:
+    """How many of them, from the first on, fit whole into the room."""
+    for count, entry in enumerate(entries):
+        room -= size(entry)
+        if room < 0:
+            return count
+    return len(entries)
--- a/martentide/interface.py
+++ b/martentide/interface.py
@@ -225,6 +225,25 @@
     share: float
 
 
+@dataclass(frozen=True, slots=True)
+class TestDuty:
+    """Other members of the fleet test these servers, and try calls at them: their word is fresh, and this
+    proxy leaves it to them. What is not named is its own to test, as without a fleet."""
+
+    __test__ = False  # not for pytest
+    no_tests: frozenset[str]
+    no_trials: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerNews:
+    """A server answered another member ``age`` ms ago: a test, or a call after ``wait`` ms."""
+
+    server: str
+    age: float
+    wait: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class TimerDue:
     """A timer set by SetTimer came due."""
@@ -242,6 +261,8 @@
     | PeerMessage
     | SettingsChanged
     | ColdShare
+    | TestDuty
+    | PeerNews
     | TimerDue
 )
 
--- a/martentide/net/decider.py
+++ b/martentide/net/decider.py
@@ -27,6 +27,7 @@
     Fail,
     ListKind,
     Note,
+    PeerNews,
     Probe,
     ProbeEnded,
     Refuse,
@@ -38,6 +39,7 @@
     SettingsChanged,
     SetUpOffered,
     Stands,
+    TestDuty,
     TimerDue,
 )
 from martentide.net.endings import LOG, log_event
@@ -132,7 +134,19 @@
 
 
 Item = (
-    Offer | GiveUp | ReleaseIn | Stood | Ended | ProbeEnded | TimerDue | Overdue | Notice | Settle | ColdShare
+    Offer
+    | GiveUp
+    | ReleaseIn
+    | Stood
+    | Ended
+    | ProbeEnded
+    | TimerDue
+    | Overdue
+    | Notice
+    | Settle
+    | ColdShare
+    | TestDuty
+    | PeerNews
 )
 
 
--- /dev/null
+++ b/martentide/net/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet on sockets: one datagram endpoint, one actor."""
--- /dev/null
+++ b/martentide/net/fleet/member.py
@@ -0,0 +1,349 @@
+"""The actor of the fleet: owns the core and the duty of testing, and speaks with the decider by messages.
+
+Datagrams come into its mailbox, which has a bound: a flood costs a counter. It has one timer for the core and
+one for its looks at the duty.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import secrets
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from martentide.fleet.core import (
+    Action,
+    Address,
+    Changed,
+    Core,
+    Depart,
+    Displaced,
+    Due,
+    Heard,
+    Late,
+    Learned,
+    Publish,
+    Send,
+)
+from martentide.fleet.core import (
+    Event as CoreEvent,
+)
+from martentide.fleet.duty import DOUBTS, FINDINGS, SCHEMA, Duty, read_doubts, read_findings
+from martentide.fleet.wire import Frame, State, Unreadable
+from martentide.interface import AttemptEnded, Event, ProbeEnded, Stands
+from martentide.net.decider import Decider, Probing
+from martentide.net.endings import LOG, log_event
+
+if TYPE_CHECKING:
+    from martentide.extras import Fleet as FleetPart
+
+MOST_WAITING = 512  # items in the mailbox; more is dropped, as a full socket buffer would
+AT_A_TIME = 32  # items taken before the rest of the program has its turn
+LOOK = 250.0  # ms between two looks at the duty of testing
+OPEN_TRIES, OPEN_GAP = 60, 0.05  # and s between two tries to open the endpoint
+QUIET = 1.0  # s between two lines about datagrams that were passed over
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """An event of the decisions about a watched server."""
+
+    at: float
+    event: Event
+
+
+class Tick:
+    """The core's time has come."""
+
+
+class Look:
+    """Time to look at the duty of testing."""
+
+
+Item = bytes | Seen | Tick | Look
+
+
+class Endpoint(asyncio.DatagramProtocol):
+    def __init__(self, member: Member) -> None:
+        self.member = member
+
+    def datagram_received(self, data: bytes, address: tuple[str | object, int]) -> None:
+        self.member.post(data)
+
+    def error_received(self, error: Exception) -> None:
+        self.member.counts["unreachable"] += 1  # nobody listens there: as good as a lost datagram
+
+
+class Member:
+    """This proxy as a member of its fleet; ``rejoin`` after ``retire`` makes it one anew."""
+
+    def __init__(self, part: FleetPart, name: str, decider: Decider, seed: int) -> None:
+        self.part, self.name, self.decider, self.seed = part, name, decider, seed
+        self.loop = asyncio.get_running_loop()
+        self.mailbox: asyncio.Queue[Item] = asyncio.Queue(MOST_WAITING)
+        self.counts: Counter[str] = Counter()
+        self.said: Counter[str] = Counter()  # as of the last line about them
+        self.said_at = 0.0
+        self.frame = Frame(part.name, part.secret)
+        self.duty = Duty(name, part.zone)
+        self.core: Core | None = None
+        self.transport: asyncio.DatagramTransport | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.looking: asyncio.TimerHandle | None = None
+        self.lives = 0
+        self.displaced = self.wanted = False
+        decider.heard.append(self._overhear)
+
+    # ---- life -------------------------------------------------------------------------------------------
+
+    def _now(self) -> float:
+        return self.loop.time() * 1000.0
+
+    async def join(self) -> None:
+        """Open the endpoint and look for the fleet. Where its address is taken for good, the proxy serves as
+        without a fleet."""
+        self.wanted = True
+        transport: asyncio.DatagramTransport | None = None
+        for attempt in range(OPEN_TRIES):
+            try:  # a predecessor lets go of the address in its own time
+                transport, _ = await self.loop.create_datagram_endpoint(
+                    lambda: Endpoint(self), self.part.listen
+                )
+                break
+            except OSError as error:
+                if attempt == OPEN_TRIES - 1:
+                    LOG.error("fleet-not-joined", detail=repr(error.strerror or str(error)))
+                    return
+                await asyncio.sleep(OPEN_GAP)
+        assert transport is not None
+        if not self.wanted or self.core is not None:
+            transport.close()  # retired while it waited
+            return
+        self.transport = transport
+        own = transport.get_extra_info("sockname")
+        self.lives += 1
+        address: Address = self.part.advertise or (own[0], own[1])
+        seed = self.seed ^ (self.lives << 64) ^ int(self.loop.time() * 1e9)
+        self.core = Core(
+            self.name,
+            self.part.zone,
+            address,
+            self.part.seeds,
+            self.part.terms(),
+            seed,
+            self._now(),
+            secrets.randbits(62) + 1,
+        )
+        self.displaced = False
+        log_event(
+            "fleet-joining", fleet=self.part.name, address=f"{own[0]}:{own[1]}",
+            advertise=f"{address[0]}:{address[1]}", life=self.core.me.life, zone=self.part.zone,
+        )  # fmt: skip
+        self._arm()
+        self.looking = self.loop.call_later(LOOK / 1000.0, self._post_look)
+
+    def retire(self) -> None:
+        """Fall silent without a word: a successor takes the name over."""
+        self.wanted = False
+        for timer in (self.timer, self.looking):
+            if timer is not None:
+                timer.cancel()
+        if self.transport is not None:
+            self.transport.close()
+        if self.core is not None:
+            log_event("fleet-retired")
+        self.core = self.transport = self.timer = self.looking = None
+
+    def depart(self) -> None:
+        """Tell the others, then fall silent."""
+        if self.core is not None:
+            self._feed(Depart())
+            log_event("fleet-left")
+        self.retire()
+
+    async def run(self) -> None:
+        taken = 0
+        while True:
+            item = await self.mailbox.get()
+            taken += 1
+            if taken % AT_A_TIME == 0:
+                await asyncio.sleep(0)
+            try:
+                self._take(item)
+            except Exception:  # one strange word must not end the membership
+                LOG.exception("internal-error fleet", item=type(item).__name__)
+            if self.core is not None:
+                self._arm()
+
+    def post(self, item: Item) -> None:
+        if self.mailbox.full():
+            self.counts["overrun"] += 1
+            return
+        self.mailbox.put_nowait(item)
+
+    # ---- items ------------------------------------------------------------------------------------------
+
+    def _take(self, item: Item) -> None:
+        if self.core is None:
+            return
+        match item:
+            case bytes():
+                self._read(item)
+            case Tick():
+                self._feed(Due())
+            case Look():
+                self._look()
+                self.looking = self.loop.call_later(LOOK / 1000.0, self._post_look)
+            case Seen(at, event):
+                self.duty.observe(at, event)
+
+    def _arm(self) -> None:
+        assert self.core is not None
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.loop.call_at(self.core.due / 1000.0, self._post_tick)
+
+    def _post_tick(self) -> None:
+        self.post(Tick())
+        if self.core is not None and self.mailbox.full():
+            self.timer = self.loop.call_later(0.05, self._post_tick)
+
+    def _post_look(self) -> None:
+        if self.mailbox.full():
+            self.looking = self.loop.call_later(LOOK / 1000.0, self._post_look)
+        else:
+            self.post(Look())
+
+    def _read(self, data: bytes) -> None:
+        self.counts["received"] += 1
+        self.counts["received_bytes"] += len(data)
+        try:
+            said = self.frame.read(data)
+        except Unreadable as error:
+            self._passed_over(error.why.value)
+            return
+        self._feed(Heard(said))
+
+    def _passed_over(self, why: str) -> None:
+        self.counts[why] += 1
+        now = self.loop.time()
+        if now - self.said_at >= QUIET:
+            self.said_at = now
+            kinds = (
+                "strange",
+                "other-fleet",
+                "other-version",
+                "damaged",
+                "malformed",
+                "oversized",
+                "overrun",
+            )
+            new = {kind: self.counts[kind] - self.said[kind] for kind in kinds}
+            self.said = Counter(self.counts)
+            log_event(
+                "fleet-passed-over", **{kind.replace("-", "_"): count for kind, count in new.items() if count}
+            )
+
+    def _feed(self, event: CoreEvent) -> None:
+        assert self.core is not None
+        for action in self.core.handle(self._now(), event):
+            self._act(action)
+
+    def _act(self, action: Action) -> None:
+        match action:
+            case Send(address, datagram):
+                data = self.frame.write(datagram)
+                self.counts["sent"] += 1
+                self.counts["sent_bytes"] += len(data) + 28
+                if self.transport is not None:
+                    self.transport.sendto(data, address)
+            case Changed(word, old, by, evidence):
+                log_event(
+                    "fleet-member", member=word.name, state=State(word.state).name.lower(),
+                    was="unknown" if old is None else old.name.lower(), by=by, evidence=repr(evidence),
+                    generation=word.generation, life=word.life, zone=word.zone,
+                )  # fmt: skip
+            case Learned():
+                self.counts["facets"] += 1
+            case Displaced(by):
+                self.displaced = True
+                LOG.error(
+                    "fleet-displaced", member=by.name, address=f"{by.host}:{by.port}", life=by.life,
+                    detail=repr("another process bears this name by a newer right; this one acts alone"),
+                )  # fmt: skip
+            case Late(span):
+                self.counts["late"] += 1
+                log_event("fleet-late", ms=round(span))
+
+    # ---- duty of testing --------------------------------------------------------------------------------
+
+    def _overhear(self, at: float, event: Event) -> None:
+        """Runs in the decider's turn: only posts, and only of servers that somebody doubts."""
+        if isinstance(event, (ProbeEnded, Stands, AttemptEnded)) and (
+            event.server in self.duty.watched and self.core is not None
+        ):
+            self.post(Seen(self._now(), event))
+
+    def _look(self) -> None:
+        core = self.core
+        assert core is not None
+        now = self._now()
+        servers = self.decider.controller.servers
+        doubted = [name for name, one in servers.items() if one.suspect or one.cold_from is not None]
+        living = {word.name: word.zone for word in core.living()}
+        if core.silent:
+            living = {self.name: self.part.zone}  # displaced: alone
+        doubts, findings = [], []
+        for _, facet, _ in core.facets_of(DOUBTS, now):
+            try:
+                doubts.append([name for name in read_doubts(facet.body) if name in servers])
+            except (msgspec.DecodeError, msgspec.ValidationError):
+                self._passed_over("malformed")
+        for _, facet, age in core.facets_of(FINDINGS, now):
+            try:
+                findings.append((age, read_findings(facet.body)))
+            except (msgspec.DecodeError, msgspec.ValidationError):
+                self._passed_over("malformed")
+        outlook = self.duty.look(now, doubted, living, doubts, [] if core.silent else findings)
+        for kind, end, body in outlook.facets:
+            self._feed(Publish(kind, SCHEMA, end, body))
+        for event in outlook.events:
+            self.decider.post(event)
+        for name in outlook.tests:
+            if (actor := self.decider.servers.get(name)) is not None:
+                actor.post(Probing())
+
+    # ---- what people see --------------------------------------------------------------------------------
+
+    def status(self) -> str:
+        """JSON: this member, the others, their facets; ages in ms."""
+        core, now = self.core, self._now()
+        if core is None:
+            return json.dumps({"fleet": self.part.name, "name": self.name, "state": "retired", "members": []})
+        members = []
+        for member in core.members.values():
+            facets = [
+                {"kind": kind, "schema": one.word.schema, "counter": one.word.counter,
+                 "age": round(one.age(now)), "end": one.word.end, "bytes": len(one.word.body)}
+                for kind, one in sorted(member.facets.items())
+            ]  # fmt: skip
+            members.append(
+                {"name": member.word.name, "zone": member.word.zone, "state": member.state.name.lower(),
+                 "address": f"{member.word.host}:{member.word.port}", "generation": member.word.generation,
+                 "incarnation": member.word.incarnation, "heard": round(core.own - member.heard),
+                 "since": round(core.own - member.since), "accusers": sorted(member.accusers),
+                 "facets": facets}
+            )  # fmt: skip
+        state = "displaced" if core.silent else "joining" if core.joining else "alive"
+        return json.dumps(
+            {"fleet": self.part.name, "name": self.name, "zone": self.part.zone, "state": state,
+             "generation": core.me.generation, "incarnation": core.me.incarnation, "health": core.health,
+             "counts": dict(self.counts + core.counts),
+             "members": sorted(members, key=lambda m: str(m["name"])),
+             "tests_left_to_others": sorted(self.duty.last_duty.no_tests),
+             "trials_left_to_others": sorted(self.duty.last_duty.no_trials)}
+        )  # fmt: skip
--- /dev/null
+++ b/martentide/net/fleet/show.py
@@ -0,0 +1,56 @@
+"""What ``martentide fleet show`` asks of a running proxy, and its table."""
+
+from __future__ import annotations
+
+import http.client
+import json
+from typing import Any
+
+from martentide.lifecycle.calls import FLEET
+
+LIMIT = 3.0  # s
+
+
+class AskError(Exception):
+    """The proxy can't be asked, or is no member; the text is one line."""
+
+
+def ask(operator: str) -> str:
+    """The status of the proxy whose operator's calls come in there, as JSON; raises AskError."""
+    host, colon, port = operator.rpartition(":")
+    if not colon or not host or not port.isdecimal():
+        raise AskError("expected HOST:PORT")
+    connection = http.client.HTTPConnection(host, int(port), timeout=LIMIT)
+    try:
+        connection.request("GET", FLEET)
+        answer = connection.getresponse()
+        text = answer.read().decode()
+    except (OSError, http.client.HTTPException) as error:
+        raise AskError(str(error) or type(error).__name__) from None
+    finally:
+        connection.close()
+    if answer.status != 200:
+        raise AskError(text.strip())
+    return text.strip()
+
+
+def table(status: str) -> str:
+    said: dict[str, Any] = json.loads(status)
+    own = f"{said['name']} in fleet {said['fleet']}: {said['state']}"
+    if "health" in said:
+        own += f", generation {said['generation']}, own doubt {said['health']}"
+    lines = [own]
+    if said["members"]:
+        lines.append(f"{'member':<16} {'zone':<12} {'state':<8} {'generation':>10} {'heard':>8}  facets")
+    for one in said["members"]:
+        facets = " ".join(f"{f['kind']}:{f['age'] / 1000:.1f}s" for f in one["facets"]) or "-"
+        if one["accusers"] and one["state"] == "suspect":
+            facets += f"  accused by {', '.join(one['accusers'])}"
+        lines.append(
+            f"{one['name']:<16} {one['zone']:<12} {one['state']:<8} {one['generation']:>10} "
+            f"{one['heard'] / 1000:>7.1f}s  {facets}"
+        )
+    for what in ("tests", "trials"):
+        if left := said.get(f"{what}_left_to_others"):
+            lines.append(f"{what} left to others: {', '.join(left)}")
+    return "\n".join(lines)
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -27,7 +27,7 @@
 )
 from martentide.interface import ColdShare, Ending, ListKind, ProbeEnded, ServerState, Settings
 from martentide.lifecycle import machine
-from martentide.lifecycle.calls import OUT_OF_SERVICE, READY
+from martentide.lifecycle.calls import FLEET, OUT_OF_SERVICE, READY
 from martentide.lifecycle.machine import Machine
 from martentide.net.board import Board, Moved
 from martentide.net.callers import Callers
@@ -41,6 +41,7 @@
 if TYPE_CHECKING:
     from martentide.net.control import Control
     from martentide.net.extproc.server import ExternalProcessorServer
+    from martentide.net.fleet.member import Member
     from martentide.net.learned import Store
 
 CALLERS_SHARE = 0.5  # of the descriptors: callers hold a third at most, old connections may overlap new ones
@@ -120,6 +121,8 @@
         store.move(state.folder, state.pace())
     elif (store is None) != (state is None):
         kept.append("learned-state")
+    if (new.extras and new.extras.fleet) != (config.extras and config.extras.fleet):
+        kept.append("fleet")
     log_event(
         "reloaded",
         board=new.board,
@@ -146,8 +149,10 @@
         callers: Callers,
         store: Store | None,
         processor: ExternalProcessorServer | None,
+        member: Member | None = None,
     ) -> None:
         self.config, self.read = config, read
+        self.member = member
         self.decider, self.board, self.callers = decider, board, callers
         self.store, self.processor = store, processor
         self.machine = Machine()
@@ -162,6 +167,7 @@
         self.channel: Channel | None = None  # to the predecessor, or to the successor that was welcomed
         self.following: asyncio.Task[None] | None = None
         self.accepting: asyncio.Task[None] | None = None
+        self.joining: asyncio.Task[None] | None = None
         self.asking: dict[int, Channel] = {}
 
     def post(self, event: machine.Event) -> None:
@@ -171,6 +177,8 @@
         """The operator's call of that path: its status and text."""
         if path == READY:
             return (200, "ready") if self.machine.ready else (503, self.machine.phase.value)
+        if path == FLEET:
+            return (200, self.member.status()) if self.member is not None else (404, "no fleet is set")
         number = next(self.numbers)
         answer: asyncio.Future[tuple[int, str]] = self.loop.create_future()
         self.asked[number] = answer
@@ -216,6 +224,8 @@
                     self.processor.closing()  # fronts are told on their streams: no time to learn of it
             case machine.Tell(phase, by):
                 log_event("service-state", state=phase.value, by=by, calls=len(self.decider.calls))
+                if phase is machine.Phase.STOPPING and self.member is not None:
+                    self.member.depart()
             case _:
                 self._act_on_upgrade(action)
 
@@ -255,13 +265,7 @@
                 self.following = self.loop.create_task(self._hear_successor(self.channel), name="successor")
                 log_event("upgrade", step="welcomed")
             case machine.Yield():
-                assert self.channel is not None
-                self.callers.yield_to(self.channel.send)
-                self.decider.post(ColdShare(BESIDE))
-                if self.meeting is not None:
-                    self.meeting.close(unlink=False)
-                self.channel.send(Taken())
-                log_event("upgrade", step="yielded", links=len(self.callers.door.open))
+                self._yield()
             case machine.MoveOut():
                 if self.channel is not None:
                     log_event("upgrade", step="moving", links=len(self.callers.door.open))
@@ -271,7 +275,7 @@
             case machine.AcceptAgain():
                 log_event("upgrade", step="accepting-again")
                 self.decider.post(ColdShare(1.0))
-                self.accepting = self.loop.create_task(self.callers.accept(), name="accept")
+                self.accepting = self.loop.create_task(self._accept_again(), name="accept")
             case machine.LetGoOfSuccessor():
                 self.channel = None
                 self.callers.successor_gone()
@@ -284,6 +288,25 @@
                 self.decider.post(ColdShare(1.0))
                 self.callers.orphaned()
 
+    def _yield(self) -> None:
+        assert self.channel is not None
+        if self.member is not None:
+            self.member.retire()  # before the word that its address is free
+        self.callers.yield_to(self.channel.send)
+        self.decider.post(ColdShare(BESIDE))
+        if self.meeting is not None:
+            self.meeting.close(unlink=False)
+        self.channel.send(Taken())
+        log_event("upgrade", step="yielded", links=len(self.callers.door.open))
+
+    async def _accept_again(self) -> None:
+        await self.callers.accept()
+        self._join()
+
+    def _join(self) -> None:
+        if self.member is not None:
+            self.joining = self.loop.create_task(self.member.join(), name="fleet")
+
     async def _hear_successor(self, channel: Channel) -> None:
         while (heard := await channel.heard.get()) is not None:
             match heard[0]:
@@ -326,6 +349,7 @@
             self.post(machine.PredecessorFound())
             await self._take(self.found)
         await self.callers.accept()
+        self._join()
         self.post(machine.Listening())
 
     async def _take(self, found: Found) -> None:
@@ -356,10 +380,11 @@
 
 def turned_on(
     config: Config, settings: Settings, decider: Decider
-) -> tuple[Store | None, ExternalProcessorServer | None]:
+) -> tuple[Store | None, ExternalProcessorServer | None, Member | None]:
     """What the extras file turns on; the libraries come with it."""
     store: Store | None = None
     processor: ExternalProcessorServer | None = None
+    member: Member | None = None
     if config.extras is not None and (state := config.extras.learned_state) is not None:
         from martentide.net.learned import Store
 
@@ -368,7 +393,11 @@
         from martentide.net.extproc.server import ExternalProcessorServer
 
         processor = ExternalProcessorServer(part, settings, decider, config.seed)
-    return store, processor
+    if config.extras is not None and (fleet := config.extras.fleet) is not None:
+        from martentide.net.fleet.member import Member
+
+        member = Member(fleet, config.name, decider, config.seed)
+    return store, processor, member
 
 
 async def serve(config: Config, read: Callable[[], Config], environment: Mapping[str, str]) -> None:
@@ -388,8 +417,8 @@
     board = Board(config.board, config.known_number, config.zones, config.connect_timeout, decider.post)
     callers = Callers(int(config.sockets * CALLERS_SHARE), decider.post)
 
-    store, processor = turned_on(config, settings, decider)
-    service = Service(config, read, decider, board, callers, store, processor)
+    store, processor, member = turned_on(config, settings, decider)
+    service = Service(config, read, decider, board, callers, store, processor, member)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, service.post, machine.Terminate())
     loop.add_signal_handler(signal.SIGHUP, service.post, machine.HangUp())
@@ -409,12 +438,10 @@
     decider.follow(fold(config.known), ListKind.REMEMBERED)
     if store is not None:
         await store.start()
-    tasks += [
-        asyncio.create_task(decider.run(), name="decider"),
-        asyncio.create_task(board.run(), name="list"),
-    ]
-    if store is not None:
-        tasks.append(asyncio.create_task(store.run(), name="learned state"))
+    actors: dict[str, Decider | Board | Member | Store | None] = {
+        "decider": decider, "list": board, "fleet": member, "learned state": store,
+    }  # fmt: skip
+    tasks += [asyncio.create_task(one.run(), name=name) for name, one in actors.items() if one is not None]
     if processor is not None:
         await processor.start()
     await service.listen()
--- a/martentide/rules.py
+++ b/martentide/rules.py
@@ -16,8 +16,9 @@
 
 from martentide.interface import (
     Action, AttemptEnded, CallClass, CallerGone, CancelAttempt, ColdShare, Ending, Event, Fail, FollowList,
-    ListKind, PeerMessage, Probe, ProbeEnded, Refuse, Repeat, Report, ReportBy, SendSetUp, ServerEntry,
-    ServerList, ServerState, SetTimer, Settings, SettingsChanged, SetUpOffered, Stands, TellPeer, TimerDue,
+    ListKind, PeerMessage, PeerNews, Probe, ProbeEnded, Refuse, Repeat, Report, ReportBy, SendSetUp,
+    ServerEntry, ServerList, ServerState, SetTimer, Settings, SettingsChanged, SetUpOffered, Stands, TellPeer,
+    TestDuty, TimerDue,
 )  # fmt: skip
 
 # ---- fleet ----------------------------------------------------------------------------------------------
@@ -203,6 +204,7 @@
         self.servers: dict[str, Server] = {}
         self.calls: dict[int, Call] = {}
         self.fresh: dict[tuple[int, int], float] = {}
+        self.duty = TestDuty(frozenset(), frozenset())  # none but the own one, without a fleet
         self.pace = 0.0
         self.started: float | None = None
         self.actions: list[Action] = []
@@ -244,7 +246,7 @@
                 self.calls.pop(event.ref, None)
             case ProbeEnded():
                 self._probed(now, event)
-            case PeerMessage():
+            case PeerMessage() | TestDuty() | PeerNews():
                 self._hear_peer(now, event)
             case SettingsChanged(settings):
                 self._settle(settings)
@@ -557,6 +559,8 @@
         """Whether one more set-up may go to the server now; takes its tokens if so."""
         if server.suspect and (server.out or now < server.trial_due + server.trial_turn):
             return False
+        if server.suspect and server.entry.name in self.duty.no_trials:
+            return False
         if server.suspect and self.settings.may_probe and server.heard_at < server.failed_at:
             return False  # a probe finds out at less cost than a caller whether anything comes back
         unanswered = UNANSWERED * self.tolerable + min(LINK_LAG, server.least_lag or 0.0)
@@ -703,6 +707,7 @@
         if self.settings.may_probe:
             for server in self.servers.values():
                 useful = server.suspect or self.settings.report_by is ReportBy.PROBES
+                useful = useful and server.entry.name not in self.duty.no_tests
                 if useful and not server.probe_out and now >= server.probe_due:
                     server.probe_out = True
                     self.actions.append(Probe(server.entry.name))
@@ -750,8 +755,15 @@
             told = self.random.sample(others, min(PEERS_TOLD, len(others)))
             self.actions.extend(TellPeer(peer, body[:256]) for peer in told)
 
-    def _hear_peer(self, now: float, event: PeerMessage) -> None:
+    def _hear_peer(self, now: float, event: PeerMessage | TestDuty | PeerNews) -> None:
         """A peer's rates and news; a message of another form is passed over."""
+        if isinstance(event, TestDuty):
+            self.duty = event
+            return
+        if isinstance(event, PeerNews):
+            if (known := self.servers.get(event.server)) is not None:
+                self._news(now, known, now - event.age, event.wait)
+            return
         split = 2 * len(self.taken)
         body = event.body
         news_length = len(body) - split
@@ -764,9 +776,13 @@
             server = places.get(body[at])
             seen = now - body[at + 1] * NEWS_STEP
             if server is not None and (server.news_at is None or seen > server.news_at + NEWS_STEP):
-                server.news, server.news_at = body[at + 2] * NEWS_STEP, seen
-                server.heard_at = max(server.heard_at, seen)
-                self._pressure(now, server, None, server.news)
+                self._news(now, server, seen, body[at + 2] * NEWS_STEP)
+
+    def _news(self, now: float, server: Server, seen: float, wait: float | None) -> None:
+        server.heard_at = max(server.heard_at, seen)
+        if wait is not None:
+            server.news, server.news_at = wait, seen
+            self._pressure(now, server, None, wait)
 
     def _forget(self, now: float) -> None:
         longest = max((kind.deadline for kind in self.settings.classes), default=0.0)
--- /dev/null
+++ b/martentide_lab/fleet/invariants.py
@@ -0,0 +1,221 @@
+"""What must hold in a fleet, read from the log of what was done to processes and what *others* saw of them.
+
+    found-dead     a process that is killed, or left, is known as such to every other within ``Limits.found``
+    not-accused    a process that runs, and that an observer can reach, is not taken for dead by it
+    not-raised     one that was killed is not alive again without having been started
+    one-fleet      ``Limits.healed`` after the last fault all that run know each other, and nobody else
+    one-name       of two processes under one name at most one speaks
+
+A process is *disturbed* while it is stopped or cut off, and for a while after: nothing is asked of it then.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from martentide.fleet.wire import State
+from martentide_lab.fleet.story import Event, split_names
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """ms"""
+
+    found: float = 8_000.0
+    settled: float = 6_000.0  # without a disturbance, after which two are owed the truth of each other
+    healed: float = 8_000.0
+    stop: float = 700.0  # a shorter stop must not be taken for a death
+    loss: float = 0.25  # share of datagrams lost, beyond which a false accusation is no fault
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    rule: str
+    at: float
+    who: str
+    about: str
+    text: str
+
+    def __str__(self) -> str:
+        return f"{self.rule}: {self.at / 1000:.3f} s: {self.who} about {self.about}: {self.text}"
+
+
+@dataclass(slots=True)
+class Process:
+    life: int
+    since: float
+    stopped: float | None = None
+    disturbed: float = -1e9  # the last time it was
+    ended: float | None = None
+    left: bool = False
+
+
+@dataclass
+class Checker:
+    """Fed the log in order; ``finish`` gives what was broken."""
+
+    names: Sequence[str]
+    limits: Limits = field(default_factory=Limits)
+
+    def __post_init__(self) -> None:
+        self.processes: dict[str, Process] = {}
+        self.views: dict[str, dict[str, tuple[int, int]]] = {name: {} for name in self.names}
+        self.cut: dict[tuple[str, str], bool] = {}
+        self.cut_until: dict[tuple[str, str], float] = {}
+        self.loss = 0.0
+        self.loss_until = -1e9
+        self.last_fault = 0.0
+        self.owed: list[tuple[float, str, str, int, float]] = []  # due, observer, about, life, since
+        self.ended: dict[int, float] = {}  # lives that are over
+        self.broken: list[Broken] = []
+
+    def check(self, log: Iterable[Event], end: float) -> list[Broken]:
+        for event in sorted(log, key=lambda event: event.at):
+            self.take(event)
+        return self.finish(end)
+
+    # ---- the log ----------------------------------------------------------------------------------------
+
+    def take(self, event: Event) -> None:
+        self._pay(event.at)
+        match event.kind:
+            case "started":
+                self.processes[event.about] = Process(event.fields["life"], event.at)
+                self.views[event.about] = {}
+                self.last_fault = event.at
+            case "killed" | "left":
+                self._ended(event)
+            case "stopped":
+                if (one := self.processes.get(event.about)) is not None:
+                    one.stopped = event.at
+                    self.last_fault = event.at
+            case "continued":
+                self._continued(event)
+            case "fault":
+                self._fault(event)
+            case "member":
+                self._seen(event)
+            case "displaced":
+                if (one := self.processes.get(event.who)) is not None:
+                    one.disturbed = float("inf")  # it has no say any more
+
+    def _ended(self, event: Event) -> None:
+        one = self.processes.get(event.about)
+        if one is None or one.ended is not None:
+            return
+        one.ended, one.left = event.at, event.kind == "left"
+        self.ended[one.life] = event.at
+        self.last_fault = event.at
+        for name in self.names:
+            held = self.views[name].get(event.about)
+            if name != event.about and self._runs(name) and held is not None and held[1] < State.DEAD:
+                due = event.at + self.limits.found
+                if held[0] == one.life:
+                    self.owed.append((due, name, event.about, one.life, event.at))
+
+    def _continued(self, event: Event) -> None:
+        one = self.processes.get(event.about)
+        if one is not None and one.stopped is not None:
+            if event.at - one.stopped > self.limits.stop:
+                one.disturbed = event.at
+                self.last_fault = event.at
+            one.stopped = None
+
+    def _fault(self, event: Event) -> None:
+        arguments: Sequence[Any] = event.fields.get("arguments", ())
+        self.last_fault = event.at
+        match event.about:
+            case "split" | "cut":
+                here, there = (split_names(text) for text in arguments)
+                pairs = {(a, b) for a in here for b in there}
+                if event.about == "split":
+                    pairs |= {(b, a) for a, b in pairs}
+                for pair in pairs:
+                    self.cut[pair] = True
+            case "heal":
+                for pair in self.cut:
+                    self.cut_until[pair] = event.at
+                self.cut.clear()
+            case "loss":
+                if self.loss > self.limits.loss:
+                    self.loss_until = event.at
+                self.loss = arguments[0]
+
+    def _runs(self, name: str) -> bool:
+        one = self.processes.get(name)
+        return one is not None and one.ended is None
+
+    def _calm(self, name: str, at: float) -> bool:
+        """Whether the process runs and has been undisturbed for long enough."""
+        one = self.processes.get(name)
+        if one is None or one.ended is not None:
+            return False
+        if one.stopped is not None and at - one.stopped > self.limits.stop:
+            return False
+        return at - one.disturbed > self.limits.settled and at - one.since > 0
+
+    def _reach(self, a: str, b: str, at: float) -> bool:
+        """Whether both have heard each other all the time, by whatever way: no link at either is cut."""
+        cut_now = any(a in pair or b in pair for pair in self.cut)
+        lately = any(
+            at - until <= self.limits.settled for pair, until in self.cut_until.items() if {a, b} & set(pair)
+        )
+        lossy = self.loss > self.limits.loss or at - self.loss_until <= self.limits.settled
+        return not (cut_now or lately or lossy)
+
+    def _seen(self, event: Event) -> None:
+        who, about, state, life = event.who, event.about, event.fields["state"], event.fields["life"]
+        old = self.views[who].get(about)
+        self.views[who][about] = (life, state)
+        one = self.processes.get(about)
+        runs = one is not None and one.life == life and one.ended is None
+        if state == State.DEAD and runs:
+            calm = self._calm(who, event.at) and self._calm(about, event.at)
+            if calm and self._reach(who, about, event.at):
+                self._break("not-accused", event, event.fields.get("evidence", ""))
+        ended = self.ended.get(life)
+        late = ended is not None and event.at - ended > self.limits.found
+        if (
+            late
+            and state < State.DEAD
+            and (old is None or old[1] >= State.DEAD)
+            and self._calm(who, event.at)
+        ):
+            self._break("not-raised", event, f"it ended {event.at - (ended or 0.0):.0f} ms before")
+
+    def _break(self, rule: str, event: Event, text: str) -> None:
+        self.broken.append(Broken(rule, event.at, event.who, event.about, text))
+
+    # ---- what is owed ------------------------------------------------------------------------------------
+
+    def _pay(self, now: float) -> None:
+        while self.owed and self.owed[0][0] <= now:
+            due, name, about, life, since = self.owed.pop(0)
+            observer = self.processes.get(name)
+            if observer is None or observer.ended is not None or observer.since > since:
+                continue
+            if observer.stopped is not None or observer.disturbed > since - self.limits.settled:
+                continue
+            held = self.views[name].get(about)
+            if held is not None and held[0] == life and held[1] < State.DEAD:
+                text = f"ended at {since / 1000:.3f} s and still held for alive"
+                self.broken.append(Broken("found-dead", due, name, about, text))
+
+    def finish(self, end: float) -> list[Broken]:
+        self._pay(end)
+        if end - self.last_fault < self.limits.healed or self.cut or self.loss > self.limits.loss:
+            return self.broken
+        up = {
+            name
+            for name, one in self.processes.items()
+            if one.ended is None and one.stopped is None and one.disturbed != float("inf")
+        }
+        for name in sorted(up):
+            held = {about for about, (_, state) in self.views[name].items() if state < State.DEAD}
+            if held != up - {name}:
+                lacking, beyond = sorted(up - {name} - held), sorted(held - up)
+                text = f"does not know {lacking}, holds {beyond} for alive"
+                self.broken.append(Broken("one-fleet", end, name, "", text))
+        return self.broken
--- /dev/null
+++ b/martentide_lab/fleet/rig.py
@@ -0,0 +1,354 @@
+"""Several real processes of the program, with servers, board and callers of the stand-ins, and faults between
+all of them. One event log on one clock; what members say comes from their log lines."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import psutil
+
+from martentide.fleet.wire import State
+from martentide_lab.callers import TIME_LEFT, Load
+from martentide_lab.checker import check_servers
+from martentide_lab.fleet.faults import Link, Network
+from martentide_lab.fleet.hub import Hub
+from martentide_lab.fleet.invariants import Broken, Checker, Limits
+from martentide_lab.fleet.simulated import apply_to_network
+from martentide_lab.fleet.story import Event, Script, Step, split_names
+from martentide_lab.proxy import CLASSES, Proxy
+from martentide_lab.relay import Relay
+from martentide_lab.servers import GONE, READY, Board, SessionServer
+
+ZONES = ("sofia", "plovdiv", "varna")
+STATES = {state.name.lower(): int(state) for state in State}
+
+
+def fields_of(line: str) -> dict[str, str]:
+    """name=value pairs of a log line; quoted values hold no blanks that matter here."""
+    return dict(part.split("=", 1) for part in line.split() if "=" in part)
+
+
+class Rig:
+    """Plays a script: ``async with Rig(script) as rig: await rig.play()``; then ``rig.broken()``.
+
+    ``extra`` is text for each member's fleet node; ``seeds`` how many members are everybody's seeds.
+    """
+
+    def __init__(
+        self,
+        script: Script,
+        *,
+        fleet: bool = True,
+        extra: str = "",
+        seeds: int = 3,
+        base: Link | None = None,
+        load: bool = True,
+        show: Callable[[Rig], None] | None = None,
+    ) -> None:
+        self.script, self.fleet, self.extra, self.seeds, self.load = script, fleet, extra, seeds, load
+        self.show = show
+        self.network = Network(base)
+        self.hub = Hub(self.network, script.seed)
+        self.dice = random.Random(script.seed)
+        self.board = Board()
+        self.servers = [SessionServer(at) for at in range(script.servers)]
+        self.proxies: dict[str, Proxy] = {}
+        self.old: list[Proxy] = []  # that were killed or replaced, with their logs
+        self.relays: dict[tuple[str, str], Relay] = {}
+        self.loads: dict[str, Load] = {}
+        self.all_loads: list[tuple[str, Load]] = []
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.others: set[asyncio.Task[None]] = set()
+        self.log: list[Event] = []
+        self.excused: list[tuple[str, float, float]] = []  # proxy, from, until: calls then are not owed
+        self.began = time.monotonic()
+        self.loop = asyncio.get_running_loop()
+        self.changed = asyncio.Event()
+
+    # ---- life -------------------------------------------------------------------------------------------
+
+    async def __aenter__(self) -> Rig:
+        try:
+            await self.board.start()
+            for server in self.servers:
+                await server.start()
+            for name in self.script.names():
+                await self._prepare(name)
+            await asyncio.gather(*(self._start(name) for name in self.script.names()))
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in (*self.tasks.values(), *self.others):
+            task.cancel()
+        await asyncio.gather(*self.tasks.values(), *self.others, return_exceptions=True)
+        for proxy in (*self.proxies.values(), *self.old):
+            await proxy.kill()
+        for relay in self.relays.values():
+            await relay.stop()
+        for server in self.servers:
+            await server.stop()
+        await self.board.stop()
+        self.hub.close()
+
+    def now(self) -> float:
+        """ms since the begin."""
+        return (time.monotonic() - self.began) * 1000.0
+
+    def record(self, kind: str, who: str, about: str = "", **fields: Any) -> None:
+        self.log.append(Event(self.now(), kind, who, about, fields))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def zone(self, name: str) -> str:
+        return ZONES[int(name[1:]) % min(self.script.zones, len(ZONES))]
+
+    async def _prepare(self, name: str) -> None:
+        if self.fleet:
+            await self.hub.open(name)
+        via = {}
+        for target, address in [(f"s{one.number}", one.address) for one in self.servers] + [
+            ("board", self.board.address)
+        ]:
+            relay = self.relays[(name, target)] = Relay(address)
+            await relay.start()
+            key = target if target == "board" else self.servers[int(target[1:])].name
+            via[key] = relay.address
+        self.via = {**getattr(self, "via", {}), name: via}
+
+    def extras(self, name: str) -> str:
+        told = self.hub.told(name)
+        seeds = " ".join(
+            f'"{host}:{port}"' for host, port in map(self.hub.told, self.script.names()[: self.seeds])
+        )
+        return (
+            f'fleet {{\n    name "rig"\n    listen "127.0.0.1:0"\n    advertise "{told[0]}:{told[1]}"\n'
+            f'    zone "{self.zone(name)}"\n    seeds {seeds}\n    {self.extra}\n}}\n'
+        )
+
+    async def _start(self, name: str) -> None:
+        proxy = Proxy(
+            self.board, self.servers, self.extras(name) if self.fleet else None, True, name=name,
+            via=self.via[name], peers=self.fleet, connect_timeout_ms=300.0,
+        )  # fmt: skip
+        proxy.watcher = lambda _, line: self._said(name, line)
+        self.proxies[name] = proxy
+        await proxy.start()
+        if not self.fleet:
+            self.record("started", name, name, life=0)
+        self._offer(name)
+
+    def _offer(self, name: str) -> None:
+        if not self.load:
+            return
+        classes = [kind[0] for kind in CLASSES]
+        rate = self.script.rate / self.script.proxies
+        load = Load(self.proxies[name].callers, classes, rate, self.dice.getrandbits(32))
+        self.loads[name] = load
+        self.all_loads.append((name, load))
+        self.tasks[name] = self.loop.create_task(load.run())
+
+    def _said(self, name: str, line: str) -> None:
+        """A log line of a member."""
+        if "fleet-" not in line:
+            if "internal-error" in line or "Traceback" in line:
+                self.record("error", name, name, line=line)
+            return
+        said = fields_of(line)
+        if "fleet-joining" in line:
+            host, _, port = said["address"].rpartition(":")
+            self.hub.settle(name, (host, int(port)))
+            self.record("started", name, name, life=int(said["life"]))
+        elif "fleet-member" in line:
+            old = STATES.get(said["was"])
+            evidence = line.split("evidence='", 1)[-1].split("'", 1)[0]
+            self.record(
+                "member", name, said["member"], state=STATES[said["state"]], old=old, by=said["by"],
+                evidence=evidence, life=int(said["life"]),
+            )  # fmt: skip
+        elif "fleet-displaced" in line:
+            self.record("displaced", name, name, life=int(said["life"]))
+        elif "fleet-late" in line:
+            self.record("late", name, name, span=float(said["ms"]))
+        elif "fleet-passed-over" in line:
+            self.record("passed-over", name, name, line=line)
+
+    # ---- the script -------------------------------------------------------------------------------------
+
+    async def play(self) -> list[Event]:
+        """All steps in their time, counted from now, until the script's end."""
+        begin = self.now()
+        for step in self.script.steps:
+            await self._until(begin + step.at)
+            await self.do(step)
+        await self._until(begin + self.script.seconds * 1000.0)
+        return self.log
+
+    async def _until(self, when: float) -> None:
+        while (left := when - self.now()) > 0:
+            if self.show is not None:
+                self.show(self)
+            await asyncio.sleep(min(left / 1000.0, 0.25 if self.show is not None else 60.0))
+
+    async def do(self, step: Step) -> None:
+        names = (
+            split_names(step.arguments[0]) if step.arguments and isinstance(step.arguments[0], str) else []
+        )
+        match step.verb:
+            case "kill" | "term":
+                for name in names:
+                    await self.end(name, step.verb)
+            case "start":
+                await asyncio.gather(*(self.start(name) for name in names))
+            case "stop" | "continue":
+                for name in names:
+                    self._stop_or_wake(name, step.verb)
+            case "upgrade":
+                await asyncio.gather(*(self.upgrade(name) for name in names))
+            case "server":
+                await asyncio.gather(*(self._server(name, step.arguments[1]) for name in names))
+            case "surge":
+                for name, load in self.loads.items():
+                    load.rate = self.script.rate / self.script.proxies * step.arguments[0]
+                    self.record("surge", name, name, times=step.arguments[0])
+            case _:
+                apply_to_network(self.network, step)
+                self.record("fault", "network", step.verb, arguments=step.arguments)
+                self._relays()
+
+    async def start(self, name: str) -> None:
+        if name not in self.proxies:
+            await self._start(name)
+
+    async def end(self, name: str, verb: str) -> None:
+        proxy = self.proxies.pop(name, None)
+        if proxy is None:
+            return
+        self.old.append(proxy)
+        self.excused.append((name, self.now() - TIME_LEFT - 500.0, float("inf")))
+        proxy.watcher = None
+        if verb == "kill":
+            assert proxy.process is not None
+            self.record("killed", name, name)
+            await proxy.kill()
+        else:
+            proxy.send(signal.SIGTERM)
+            self.record("left", name, name)
+        if (task := self.tasks.pop(name, None)) is not None:
+            task.cancel()
+        self.loads.pop(name, None)
+
+    def _stop_or_wake(self, name: str, verb: str) -> None:
+        proxy = self.proxies.get(name)
+        if proxy is None:
+            return
+        if verb == "stop":
+            proxy.send(signal.SIGSTOP)
+            self.excused.append((name, self.now() - TIME_LEFT - 500.0, float("inf")))
+            self.record("stopped", name, name)
+        else:
+            proxy.send(signal.SIGCONT)
+            for at, (who, since, until) in enumerate(self.excused):
+                if who == name and until == float("inf"):
+                    self.excused[at] = (who, since, self.now() + 500.0)
+            self.record("continued", name, name)
+
+    async def upgrade(self, name: str) -> None:
+        """A second process takes over, then the first is told to end."""
+        first = self.proxies.get(name)
+        if first is None:
+            return
+        self.record("upgrade", name, name)
+        second = await first.successor()
+        self.proxies[name] = second
+        self.old.append(first)
+        first.send(signal.SIGTERM)
+
+    async def _server(self, name: str, word: str) -> None:
+        server = self.servers[int(name[1:])]
+        self.record("server", "board", name, word=word)
+        script = server.script
+        script.mute = script.refuse = script.error = False
+        match word:
+            case "hung":
+                script.mute = True
+            case "full":
+                script.refuse = True
+            case "error":
+                script.error = True
+            case "gone":
+                await server.stop(reset=True)
+                self.board.tell([(server, GONE)])
+            case "back":
+                await server.start()
+                self.board.tell([(server, READY)])
+
+    def _relays(self) -> None:
+        """TCP paths: what is cut in either direction passes nothing, and stays open as on a real network."""
+        for (name, target), relay in self.relays.items():
+            cut = self.network.link((name, target)).cut or self.network.link((target, name)).cut
+            (relay.freeze if cut else relay.thaw)()
+
+    # ---- what is seen -----------------------------------------------------------------------------------
+
+    async def until(self, what: Callable[[], bool], limit: float) -> float:
+        """Wait until that holds; the ms it took. Raises TimeoutError."""
+        begin = self.now()
+        async with asyncio.timeout(limit):
+            while not what():
+                await self.changed.wait()
+        return self.now() - begin
+
+    def views(self) -> dict[str, dict[str, int]]:
+        """What each running member holds of each other one."""
+        checker = Checker(self.script.names())
+        for event in self.log:
+            checker.take(event)
+        return {
+            name: {about: state for about, (_, state) in checker.views[name].items()} for name in self.proxies
+        }
+
+    def whole(self, names: Sequence[str] | None = None) -> bool:
+        """Whether those (all that run) know each other, and nobody else is alive for them."""
+        up = set(self.proxies if names is None else names)
+        views = self.views()
+        return all(
+            {about for about, state in views[name].items() if state < State.DEAD} == up - {name}
+            for name in up
+        )
+
+    def resident(self, name: str) -> float:
+        return self.proxies[name].resident()
+
+    def broken(self, limits: Limits | None = None) -> list[str]:
+        """All that the checkers find, in words: the fleet's invariants, and the platform's rules."""
+        found: list[Broken | str] = []
+        if self.fleet:
+            found += Checker(self.script.names(), limits or Limits()).check(self.log, self.now())
+        found += [f"error: {event}" for event in self.log if event.kind == "error"]
+        _, stories = check_servers(self.servers, {})
+        found += stories
+        shift = self.loop.time() * 1000.0 - self.now()
+        for name, load in self.all_loads:
+            for fault, at in load.faults(self.loop.time() * 1000.0):
+                when = at - shift
+                excused = any(who == name and since <= when <= until for who, since, until in self.excused)
+                if fault == "doubled" or not excused:
+                    found.append(f"{fault}: a call at {name}, offered at {when / 1000:.3f} s")
+        return [str(one) for one in found]
+
+    def story(self, last: int = 60) -> str:
+        return "\n".join(map(str, self.log[-last:]))
+
+
+def processor_seconds(proxy: Proxy) -> float:
+    assert proxy.process is not None
+    times = psutil.Process(proxy.process.pid).cpu_times()
+    return float(times.user + times.system)
--- /dev/null
+++ b/martentide_lab/fleet/story.py
@@ -0,0 +1,158 @@
+"""The event log of one play, on one clock, and the scripts that make it.
+
+A script is a list of steps; as a KDL file:
+
+    fleet proxies=4 servers=4 zones=3 seconds=30 seed=1
+    at 5 "kill" "n1"
+    at 9 "split" "n0,n1" "n2,n3"
+    at 15 "heal"
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import ckdl
+
+# What a step can be, and its arguments. NAMES: names with commas between them.
+VERBS: dict[str, tuple[str, ...]] = {
+    "kill": ("NAMES",),  # -9
+    "term": ("NAMES",),  # SIGTERM
+    "start": ("NAMES",),  # one that was killed or has ended, under its own name
+    "stop": ("NAMES",),  # SIGSTOP
+    "continue": ("NAMES",),
+    "split": ("NAMES", "NAMES"),  # cut both ways
+    "cut": ("NAMES", "NAMES"),  # from the first to the second only
+    "heal": (),
+    "loss": ("SHARE",),  # on all links
+    "delay": ("MS", "MS"),  # and jitter
+    "duplicate": ("SHARE",),
+    "damage": ("SHARE",),
+    "server": ("NAMES", "WORD"),  # hung, well, refusing, gone
+    "surge": ("SHARE",),  # times the load
+    "upgrade": ("NAMES",),  # a second process takes over
+}
+SERVER_WORDS = ("hung", "well", "full", "error", "gone", "back")
+
+
+class ScriptError(Exception):
+    """A script can't be played; the text is one line with place, found and expected."""
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    at: float  # ms from the begin
+    verb: str
+    arguments: tuple[Any, ...] = ()
+
+    def __str__(self) -> str:
+        return " ".join([f"at {self.at / 1000:g}", f'"{self.verb}"', *map(_quoted, self.arguments)])
+
+
+def _quoted(value: Any) -> str:
+    return f'"{value}"' if isinstance(value, str) else f"{value:g}"
+
+
+@dataclass(frozen=True)
+class Script:
+    proxies: int = 4
+    servers: int = 4
+    zones: int = 3
+    seconds: float = 30.0
+    seed: int = 1
+    rate: float = 20.0  # calls a second, all proxies together
+    steps: tuple[Step, ...] = ()
+
+    def names(self) -> list[str]:
+        return [f"n{at}" for at in range(self.proxies)]
+
+    def text(self) -> str:
+        head = (
+            f"fleet proxies={self.proxies} servers={self.servers} zones={self.zones} "
+            f"seconds={self.seconds:g} seed={self.seed} rate={self.rate:g}"
+        )
+        return "\n".join([head, *map(str, self.steps)]) + "\n"
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """``who`` saw or did it; ``about`` whom it concerns."""
+
+    at: float
+    kind: str
+    who: str
+    about: str = ""
+    fields: dict[str, Any] = field(default_factory=dict)
+
+    def __str__(self) -> str:
+        more = " ".join(f"{name}={value}" for name, value in self.fields.items())
+        return f"{self.at / 1000:8.3f}  {self.who:<10} {self.kind:<14} {self.about:<10} {more}".rstrip()
+
+
+def split_names(text: str) -> list[str]:
+    return [name for name in text.split(",") if name]
+
+
+def read_script(text: str, path: str) -> Script:
+    """Raises ScriptError."""
+    try:
+        document = ckdl.parse(text)
+    except ckdl.ParseError as error:
+        raise ScriptError(f"{path}: {error}") from None
+    head: dict[str, Any] = {}
+    steps: list[Step] = []
+    for number, node in enumerate(document.nodes, 1):
+        where = f"{path}: node {number} ({node.name})"
+        if node.name == "fleet":
+            for name, value in node.properties.items():
+                known = {"proxies", "servers", "zones", "seconds", "seed", "rate"}
+                if name not in known or type(value) not in (int, float) or value < 0:
+                    raise ScriptError(f"{where}: {name}={value!r}: expected a number for {sorted(known)}")
+                head[name] = value if name in ("seconds", "rate") else int(value)
+        elif node.name == "at":
+            steps.append(_step(node.args, where))
+        else:
+            raise ScriptError(f"{where}: expected fleet or at, found {node.name}")
+    script = Script(**head, steps=tuple(sorted(steps, key=lambda step: step.at)))
+    _check_names(script, path)
+    return script
+
+
+def _step(arguments: Sequence[Any], where: str) -> Step:
+    if len(arguments) < 2 or type(arguments[0]) not in (int, float) or arguments[0] < 0:
+        raise ScriptError(f"{where}: expected seconds and a verb, found {list(arguments)!r}")
+    at, verb, *rest = arguments
+    if verb not in VERBS:
+        raise ScriptError(f"{where}: expected one of {', '.join(VERBS)}, found {verb!r}")
+    wanted = VERBS[verb]
+    if len(rest) != len(wanted):
+        raise ScriptError(f"{where}: {verb} takes {' '.join(wanted) or 'nothing'}, found {rest!r}")
+    for kind, value in zip(wanted, rest, strict=True):
+        if kind in ("NAMES", "WORD") and not isinstance(value, str):
+            raise ScriptError(f"{where}: expected {kind}, found {value!r}")
+        if kind == "SHARE" and (type(value) not in (int, float) or not 0 <= value <= 10):
+            raise ScriptError(f"{where}: expected a share, found {value!r}")
+        if kind == "MS" and (type(value) not in (int, float) or not 0 <= value <= 60_000):
+            raise ScriptError(f"{where}: expected milliseconds, found {value!r}")
+        if kind == "WORD" and value not in SERVER_WORDS:
+            raise ScriptError(f"{where}: expected one of {', '.join(SERVER_WORDS)}, found {value!r}")
+    return Step(at * 1000.0, verb, tuple(rest))
+
+
+def _check_names(script: Script, path: str) -> None:
+    known = {*script.names(), *(f"s{at}" for at in range(script.servers)), "board"}
+    for step in script.steps:
+        for kind, value in zip(VERBS[step.verb], step.arguments, strict=True):
+            for name in split_names(value) if kind == "NAMES" else ():
+                if name not in known:
+                    raise ScriptError(f"{path}: {step}: no such member or server: {name}")
+
+
+def load_script(path: str) -> Script:
+    try:
+        return read_script(Path(path).read_text(), path)
+    except (OSError, UnicodeDecodeError) as error:
+        raise ScriptError(f"{path}: {error}") from None
