--- a/martentide/fleet/core.py
+++ b/martentide/fleet/core.py
@@ -39,6 +39,7 @@
 DRIFT = 0.001  # by which two clocks' paces may differ
 FAREWELLS = 12  # members that are told of a departure at once
 FRAME = HEAD + CHECK + 60  # bytes beside the sender's word and the entries: frame, figures, list heads
+OVERHEAD = FRAME + 28 + 60  # of a datagram that only carries news: headers of IP and UDP, the own word
 STATES = tuple(State)
 Address = tuple[str, int]
 
@@ -239,7 +240,7 @@
             first = min(first, self.gossip_due)
         if self.probe is not None:
             first = min(first, self.probe.helpers_due or self.probe.end)
-        return first + self.lost
+        return first + self.lost + 0.001  # so that rounding never brings the host before its time
 
     def living(self) -> list[MemberWord]:
         """The words of all that are not known to be dead or gone, this one's first."""
@@ -343,7 +344,7 @@
         if self.gossip_due is not None and own >= self.gossip_due:
             self.gossip_due = None
             for member in self._some_living(self.terms.fanout):
-                if self.news or self.facet_news:
+                if (self.news or self.facet_news) and self._afford(OVERHEAD, -self.terms.burst_bytes / 4):
                     self._send(Kind.NEWS, member, room=DATAGRAM)
         if (self.news or self.facet_news) and self.gossip_due is None and self.members:
             self.gossip_due = own + self.terms.gossip_gap
--- a/martentide_lab/fleet/rig.py
+++ b/martentide_lab/fleet/rig.py
@@ -4,15 +4,18 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import signal
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
 from typing import Any
 
 import psutil
 
 from martentide.fleet.wire import State
+from martentide.net.fleet.show import ask
 from martentide_lab.callers import TIME_LEFT, Load
 from martentide_lab.checker import check_servers
 from martentide_lab.fleet.faults import Link, Network
@@ -28,6 +31,30 @@
 STATES = {state.name.lower(): int(state) for state in State}
 
 
+CLOCK = "clock-offset"
+SITE = """
+import threading, time
+true, offset = time.time, [0.0]
+def follow():
+    while True:
+        try:
+            offset[0] = float(open({path!r}).read())
+        except (OSError, ValueError):
+            pass
+        time.sleep(0.02)
+time.time = lambda: true() + offset[0]
+offset[0] = float(open({path!r}).read())
+threading.Thread(target=follow, daemon=True).start()
+"""
+
+
+def clock_of(folder: Path, ahead: float) -> dict[str, str]:
+    """Environment for a process whose wall clock follows a file, in s ahead of the true one."""
+    (folder / CLOCK).write_text(str(ahead))
+    (folder / "sitecustomize.py").write_text(SITE.format(path=str(folder / CLOCK)))
+    return {"PYTHONPATH": str(folder)}
+
+
 def fields_of(line: str) -> dict[str, str]:
     """name=value pairs of a log line; quoted values hold no blanks that matter here."""
     return dict(part.split("=", 1) for part in line.split() if "=" in part)
@@ -48,10 +75,12 @@
         seeds: int = 3,
         base: Link | None = None,
         load: bool = True,
+        clocks: Mapping[str, float] | None = None,  # s that members' wall clocks are ahead
         show: Callable[[Rig], None] | None = None,
     ) -> None:
         self.script, self.fleet, self.extra, self.seeds, self.load = script, fleet, extra, seeds, load
-        self.show = show
+        self.show, self.clocks = show, dict(clocks or {})
+        self.via: dict[str, dict[str, str]] = {}
         self.network = Network(base)
         self.hub = Hub(self.network, script.seed)
         self.dice = random.Random(script.seed)
@@ -65,6 +94,7 @@
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.others: set[asyncio.Task[None]] = set()
         self.log: list[Event] = []
+        self.held: dict[str, dict[str, int]] = {}  # by observer: the states it holds of others
         self.excused: list[tuple[str, float, float]] = []  # proxy, from, until: calls then are not owed
         self.began = time.monotonic()
         self.loop = asyncio.get_running_loop()
@@ -104,6 +134,10 @@
 
     def record(self, kind: str, who: str, about: str = "", **fields: Any) -> None:
         self.log.append(Event(self.now(), kind, who, about, fields))
+        if kind == "started":
+            self.held[who] = {}
+        elif kind == "member":
+            self.held.setdefault(who, {})[about] = fields["state"]
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -121,7 +155,7 @@
             await relay.start()
             key = target if target == "board" else self.servers[int(target[1:])].name
             via[key] = relay.address
-        self.via = {**getattr(self, "via", {}), name: via}
+        self.via[name] = via
 
     def extras(self, name: str) -> str:
         told = self.hub.told(name)
@@ -133,11 +167,15 @@
             f'    zone "{self.zone(name)}"\n    seeds {seeds}\n    {self.extra}\n}}\n'
         )
 
-    async def _start(self, name: str) -> None:
+    async def _start(self, name: str, bears: str | None = None, fleet: str = "rig") -> None:
+        """``bears``: another name than that of its place here; ``fleet``: of another fleet."""
+        extras = self.extras(name).replace('"rig"', f'"{fleet}"') if self.fleet else None
         proxy = Proxy(
-            self.board, self.servers, self.extras(name) if self.fleet else None, True, name=name,
-            via=self.via[name], peers=self.fleet, connect_timeout_ms=300.0,
+            self.board, self.servers, extras, True, name=bears or name, via=self.via[name], peers=self.fleet,
+            connect_timeout_ms=300.0,
         )  # fmt: skip
+        if name in self.clocks:
+            proxy.environment = clock_of(proxy.folder, self.clocks[name])
         proxy.watcher = lambda _, line: self._said(name, line)
         self.proxies[name] = proxy
         await proxy.start()
@@ -223,9 +261,17 @@
                 self.record("fault", "network", step.verb, arguments=step.arguments)
                 self._relays()
 
-    async def start(self, name: str) -> None:
+    async def start(self, name: str, bears: str | None = None, fleet: str = "rig") -> None:
+        """Start a member anew, or one that the script does not name, at a place of its own."""
         if name not in self.proxies:
-            await self._start(name)
+            if name not in self.via:
+                await self._prepare(name)
+            await self._start(name, bears, fleet)
+
+    def set_clock(self, name: str, ahead: float) -> None:
+        """The member's wall clock jumps to so many s ahead; it was named in ``clocks``."""
+        (self.proxies[name].folder / CLOCK).write_text(str(ahead))
+        self.record("clock", name, name, ahead=ahead)
 
     async def end(self, name: str, verb: str) -> None:
         proxy = self.proxies.pop(name, None)
@@ -275,9 +321,11 @@
         server = self.servers[int(name[1:])]
         self.record("server", "board", name, word=word)
         script = server.script
-        script.mute = script.refuse = script.error = False
+        script.mute = script.deaf = script.refuse = script.error = False
         match word:
             case "hung":
+                script.mute = script.deaf = True
+            case "mute":
                 script.mute = True
             case "full":
                 script.refuse = True
@@ -306,24 +354,29 @@
                 await self.changed.wait()
         return self.now() - begin
 
-    def views(self) -> dict[str, dict[str, int]]:
-        """What each running member holds of each other one."""
-        checker = Checker(self.script.names())
-        for event in self.log:
-            checker.take(event)
-        return {
-            name: {about: state for about, (_, state) in checker.views[name].items()} for name in self.proxies
-        }
-
     def whole(self, names: Sequence[str] | None = None) -> bool:
         """Whether those (all that run) know each other, and nobody else is alive for them."""
         up = set(self.proxies if names is None else names)
-        views = self.views()
         return all(
-            {about for about, state in views[name].items() if state < State.DEAD} == up - {name}
+            {about for about, state in self.held.get(name, {}).items() if state < State.DEAD} == up - {name}
             for name in up
         )
 
+    def known_dead(self, *names: str, by: Sequence[str] | None = None) -> bool:
+        """Whether all that run (or those named) hold the names for dead or gone."""
+        observers = [one for one in (self.proxies if by is None else by) if one not in names]
+        return all(
+            self.held.get(observer, {}).get(name, State.DEAD) >= State.DEAD
+            for observer in observers
+            for name in names
+        )
+
+    async def status(self, name: str) -> dict[str, Any]:
+        """What the member's own ``fleet show`` says."""
+        text = await asyncio.to_thread(ask, self.proxies[name].operator)
+        said: dict[str, Any] = json.loads(text)
+        return said
+
     def resident(self, name: str) -> float:
         return self.proxies[name].resident()
 
--- a/martentide_lab/fleet/simulated.py
+++ b/martentide_lab/fleet/simulated.py
@@ -27,7 +27,7 @@
 )
 from martentide.fleet.core import Event as CoreEvent
 from martentide.fleet.terms import Terms
-from martentide.fleet.wire import Frame, Unreadable
+from martentide.fleet.wire import Datagram, Frame, Kind, Unreadable
 from martentide_lab.fleet.faults import Link, Network, damaged
 from martentide_lab.fleet.story import Event, Step, split_names
 
@@ -107,6 +107,17 @@
         self.run(until)
         return self.log
 
+    def acquaint(self) -> None:
+        """All start, and know each other from the first moment: where the cold start is not the question."""
+        for name in self.nodes:
+            self.start(name)
+        words = [node.core.me for node in self.nodes.values() if node.core is not None]
+        for name, node in self.nodes.items():
+            assert node.core is not None
+            teller = words[0] if words[0].name != name else words[1]
+            rest = [word for word in words if word.name != name]
+            self.feed(name, Heard(Datagram(Kind.LACKING, teller, node.core.me.life, 0, members=rest)))
+
     # ---- processes --------------------------------------------------------------------------------------
 
     def start(self, name: str) -> None:
--- a/martentide_lab/fleet/story.py
+++ b/martentide_lab/fleet/story.py
@@ -31,11 +31,11 @@
     "delay": ("MS", "MS"),  # and jitter
     "duplicate": ("SHARE",),
     "damage": ("SHARE",),
-    "server": ("NAMES", "WORD"),  # hung, well, refusing, gone
+    "server": ("NAMES", "WORD"),  # hung, mute (to set-ups only), well, full, error, gone, back
     "surge": ("SHARE",),  # times the load
     "upgrade": ("NAMES",),  # a second process takes over
 }
-SERVER_WORDS = ("hung", "well", "full", "error", "gone", "back")
+SERVER_WORDS = ("hung", "mute", "well", "full", "error", "gone", "back")
 
 
 class ScriptError(Exception):
--- a/martentide_lab/proxy.py
+++ b/martentide_lab/proxy.py
@@ -80,6 +80,7 @@
     ) -> None:
         self.name, self.via, self.limits = name, via or {}, limits
         self.board, self.servers, self.extras, self.operated = board, servers, extras, operated
+        self.environment: dict[str, str] = {}  # beside the usual
         self.temporary, self.listen = temporary, "127.0.0.1:0"
         self.folder = folder or Path(tempfile.mkdtemp(prefix="martentide-"))
         self.process: asyncio.subprocess.Process | None = None
@@ -119,6 +120,7 @@
             command += ["--extras", str(self.folder / "extras.kdl")]
         environment = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
         environment.pop("TMPDIR", None)
+        environment |= self.environment
         if self.temporary:
             environment["TMPDIR"] = str(self.folder)
         self.process = await asyncio.create_subprocess_exec(
--- a/martentide_lab/servers.py
+++ b/martentide_lab/servers.py
@@ -46,7 +46,8 @@
     refuse: bool = False  # full
     error: bool = False
     cut: bool = False  # resets set-ups
-    mute: bool = False  # answers nothing
+    mute: bool = False  # answers no set-up
+    deaf: bool = False  # answers no test either
 
 
 @dataclass
@@ -57,6 +58,7 @@
     script: Script = field(default_factory=Script)
     arrivals: list[Arrival] = field(default_factory=list)
     keep_arrivals: bool = True
+    tests: list[float] = field(default_factory=list)  # when each came, Unix ms
 
     def __post_init__(self) -> None:
         self.server: asyncio.Server | None = None
@@ -131,6 +133,9 @@
             self.standing.pop(message.call, None)
             writer.write(write_message(Type.RELEASE_HEARD, message.call))
         elif message.type == Type.TEST:
+            self.tests.append(unix_ms())
+            if self.script.deaf:
+                return
             parameters: dict[int, bytes] = {Code.CAUSE: b"\x01", Code.REPORT: self.report()}
             writer.write(write_message(Type.TEST_RESULT, message.call, parameters))
 
