Bound what a fleet tells of doubts and findings; fleet cores in the lab's simulated site

Cause: every doubter told its doubts every 2 s and each first failed trial, so facets waited for bytes (tokens at -156, 13 facets unsent) and all word was old; rounds of news that could carry no facet spent the bytes all the same.

Change: three members tell of one doubt, others join by their place where they are too few; a finding is told by holders, or where it is news; a round for facets waits for bytes. martentide_lab/sim.py joins a simulated fleet.

--- a/martentide/fleet/core.py
+++ b/martentide/fleet/core.py
@@ -344,7 +344,9 @@
         if self.gossip_due is not None and own >= self.gossip_due:
             self.gossip_due = None
             for member in self._some_living(self.terms.fanout):
-                if (self.news or self.facet_news) and self._afford(OVERHEAD, -self.terms.burst_bytes / 4):
+                # A round for facets alone waits until there are bytes for what it is to carry.
+                floor = -self.terms.burst_bytes / 4 if self.news else float(DATAGRAM)
+                if (self.news or self.facet_news) and self._afford(OVERHEAD, floor):
                     self._send(Kind.NEWS, member, room=DATAGRAM)
         if (self.news or self.facet_news) and self.gossip_due is None and self.members:
             self.gossip_due = own + self.terms.gossip_gap
@@ -584,7 +586,7 @@
                 continue
             aged = self._aged(facet)
             cost = size(aged)
-            if cost > room or not self._afford(cost, self.terms.burst_bytes / 8):
+            if cost > room or not self._afford(cost):
                 return
             room -= cost
             facets.append(aged)
--- a/martentide/fleet/duty.py
+++ b/martentide/fleet/duty.py
@@ -12,21 +12,26 @@
 import hashlib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import msgspec
 
+from martentide.fleet.core import Core
 from martentide.interface import AttemptEnded, Ending, Event, PeerNews, ProbeEnded, Stands, TestDuty
 
 DOUBTS, FINDINGS = 1, 2  # kinds of facet
 SCHEMA = 1
 HOLDERS = 2
 TEST_GAP = 1_000.0  # ms between two tests of one server by one holder
-FRESH = 1_700.0  # ms up to which word of a test or a trial stands for an own one
+STAND_INS = 4  # places behind them that test where the word is old, though they do not doubt the server
+FRESH = 3_000.0  # ms up to which word of a test or a trial stands for an own one: a gap, two looks, the way
 STEP = 250.0  # ms more for each place behind the holders
-LATEST = 4_000.0  # ms of age from which everybody tests for itself
+LATEST = 5_000.0  # ms of age from which everybody who doubts it tests for itself
 DOUBTS_END, FINDINGS_END = 6_000, 5_000  # ms a facet counts
 DOUBTS_REFRESH = 2_000.0
 FINDINGS_GAP = 400.0  # ms between two publications
+TELLERS = 3  # members that tell of one doubt: more would add up with the fleet
+RECENT = 1_000.0  # ms: a bad word of another as new as this makes an own one no news
 MOST_SERVERS = 24  # named in one facet
 MOST_SCORES = 32_768  # hashes kept
 LINK_LAG = 50.0  # ms of a call's delay that are taken for the link, not for the server
@@ -67,6 +72,13 @@
     return _FINDINGS.decode(body).findings[: 2 * MOST_SERVERS]
 
 
+class Doubtable(Protocol):
+    """What the duty reads of a server in the books of the own decisions."""
+
+    suspect: bool
+    cold_from: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class Known:
     """The freshest word on a server: when, by the own clock, and what."""
@@ -99,6 +111,7 @@
     last_doubts: list[str] = field(default_factory=list)
     doubts_at: float = -1e9
     findings_at: float = -1e9
+    untold: dict[str, int] = field(default_factory=dict)  # looks at which too few told of the doubt
     watched: frozenset[str] = frozenset()  # servers whose tests and calls matter here
 
     # ---- what the own decisions see ---------------------------------------------------------------------
@@ -149,30 +162,41 @@
         """``doubted``: what the own decisions doubt; ``doubts`` and ``findings`` of others, the latter with
         the age of the facet; ``living`` the zones by name, with the own."""
         mine = sorted(doubted)[:MOST_SERVERS]
+        doubts = list(doubts)
         watched = {*mine, *(server for one in doubts for server in one)}
         self._forget(now, watched)
-        words = self._freshest(now, watched, findings)
+        heard = self._freshest(now, watched, findings)
+        words = dict(heard)
+        for key, known in self.own.items():
+            if key not in words or known.at > words[key].at:
+                words[key] = known
         tests: list[str] = []
         no_tests, no_trials = set(), set()
-        publish = []
+        publish: list[Finding] = []
+        tell: list[str] = []
         for server in sorted(watched):
             place = self.order(server, living).index(self.name) if self.name in living else 0
             test, trial = words.get((server, False)), words.get((server, True))
             if place >= HOLDERS and self._fresh(test, now, place):
                 no_tests.add(server)
-            elif now - self.tested.get(server, -1e9) >= TEST_GAP and server not in mine:
+            elif server not in mine and place < HOLDERS + STAND_INS and self._due(server, now):
                 tests.append(server)  # where the own decisions doubt it, they test by themselves
                 self.tested[server] = now
             if place >= HOLDERS and trial is not None and not trial.good and self._fresh(trial, now, place):
                 no_trials.add(server)
-            publish += self._own_findings(server, place, now, words)
+            publish += self._own_findings(server, place, now, heard)
+            if server in mine and self._tells(server, place, sum(server in one for one in doubts)):
+                tell.append(server)
         events: list[TestDuty | PeerNews] = self._news(now, words)
         duty = TestDuty(frozenset(no_tests), frozenset(no_trials))
         if duty != self.last_duty:
             self.last_duty = duty
             events.append(duty)
         self.watched = frozenset(watched)
-        return Outlook(tuple(tests), tuple(events), (*self._doubts(now, mine), *self._findings(now, publish)))
+        return Outlook(tuple(tests), tuple(events), (*self._doubts(now, tell), *self._findings(now, publish)))
+
+    def _due(self, server: str, now: float) -> bool:
+        return now - self.tested.get(server, -1e9) >= TEST_GAP
 
     @staticmethod
     def _fresh(word: Known | None, now: float, place: int) -> bool:
@@ -182,7 +206,7 @@
     def _freshest(
         self, now: float, watched: set[str], findings: Iterable[tuple[float, list[Finding]]]
     ) -> dict[tuple[str, bool], Known]:
-        words = {key: known for key, known in self.own.items() if key[0] in watched}
+        words: dict[tuple[str, bool], Known] = {}
         for age, told in findings:
             for one in told:
                 key = (one.server, one.trial)
@@ -192,17 +216,30 @@
                     words[key] = Known(at, one.good, one.wait)
         return words
 
+    def _tells(self, server: str, place: int, tellers: int) -> bool:
+        """Whether this member is one of the few that tell of the doubt: those who tell go on, and where they
+        are too few the next in the order join them, twice as many with each look."""
+        if server in self.last_doubts and tellers < 2 * TELLERS:
+            return True
+        if tellers >= TELLERS:
+            self.untold.pop(server, None)
+            return False
+        looks = self.untold[server] = min(20, self.untold.get(server, 0) + 1)
+        return place < TELLERS << looks
+
     def _own_findings(
-        self, server: str, place: int, now: float, words: Mapping[tuple[str, bool], Known]
+        self, server: str, place: int, now: float, heard: Mapping[tuple[str, bool], Known]
     ) -> list[Finding]:
-        """A holder's own word is told; another's only where it is newer than all that is known by far."""
+        """A holder's word is told; another's only where it is news: good after bad, or nobody's of late."""
         told = []
         for trial in (False, True):
             own = self.own.get((server, trial))
             if own is None or now - own.at > FINDINGS_END:
                 continue
-            best = words[(server, trial)]
-            if place < HOLDERS or best is own:
+            best = heard.get((server, trial))
+            newest = best is None or own.at > best.at
+            recent = best is not None and own.at - best.at < RECENT and best.good == own.good
+            if place < HOLDERS or (newest and not recent):
                 told.append(Finding(server, trial, own.good, int(now - own.at), own.wait))
         return told
 
@@ -238,5 +275,34 @@
         for table in (self.own, self.told):
             for key in [key for key in table if key[0] not in watched]:
                 del table[key]
-        for server in [server for server in self.tested if server not in watched]:
-            del self.tested[server]
+        for old in (self.tested, self.untold):
+            for server in [server for server in old if server not in watched]:
+                del old[server]
+
+
+def look(core: Core, duty: Duty, now: float, servers: Mapping[str, Doubtable]) -> tuple[Outlook, int]:
+    """One look with what the member holds of others; and how many facets could not be read. A member that is
+    displaced, or has nobody, is alone: it tests as without a fleet."""
+    doubted = [name for name, one in servers.items() if one.suspect or one.cold_from is not None]
+    if core.silent:
+        return duty.look(now, doubted, {duty.name: duty.zone}, [], []), 0
+    doubts: list[list[str]] = []
+    findings: list[tuple[float, list[Finding]]] = []
+    bad = 0
+    for _, facet, _ in core.facets_of(DOUBTS, now):
+        try:
+            doubts.append([name for name in read_doubts(facet.body) if name in servers])
+        except (msgspec.DecodeError, msgspec.ValidationError):
+            bad += 1
+    for _, facet, age in core.facets_of(FINDINGS, now):
+        try:
+            findings.append((age, read_findings(facet.body)))
+        except (msgspec.DecodeError, msgspec.ValidationError):
+            bad += 1
+    if not (doubted or doubts or duty.watched):
+        return NOTHING, bad
+    living = {word.name: word.zone for word in core.living()}
+    return duty.look(now, doubted, living, doubts, findings), bad
+
+
+NOTHING = Outlook((), (), ())
--- a/martentide/net/fleet/member.py
+++ b/martentide/net/fleet/member.py
@@ -13,8 +13,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from martentide.fleet.core import (
     Action,
     Address,
@@ -32,7 +30,7 @@
 from martentide.fleet.core import (
     Event as CoreEvent,
 )
-from martentide.fleet.duty import DOUBTS, FINDINGS, SCHEMA, Duty, read_doubts, read_findings
+from martentide.fleet.duty import SCHEMA, Duty, look
 from martentide.fleet.wire import Frame, State, Unreadable
 from martentide.interface import AttemptEnded, Event, ProbeEnded, Stands
 from martentide.net.decider import Decider, Probing
@@ -292,23 +290,9 @@
         core = self.core
         assert core is not None
         now = self._now()
-        servers = self.decider.controller.servers
-        doubted = [name for name, one in servers.items() if one.suspect or one.cold_from is not None]
-        living = {word.name: word.zone for word in core.living()}
-        if core.silent:
-            living = {self.name: self.part.zone}  # displaced: alone
-        doubts, findings = [], []
-        for _, facet, _ in core.facets_of(DOUBTS, now):
-            try:
-                doubts.append([name for name in read_doubts(facet.body) if name in servers])
-            except (msgspec.DecodeError, msgspec.ValidationError):
-                self._passed_over("malformed")
-        for _, facet, age in core.facets_of(FINDINGS, now):
-            try:
-                findings.append((age, read_findings(facet.body)))
-            except (msgspec.DecodeError, msgspec.ValidationError):
-                self._passed_over("malformed")
-        outlook = self.duty.look(now, doubted, living, doubts, [] if core.silent else findings)
+        outlook, bad = look(core, self.duty, now, self.decider.controller.servers)
+        if bad:
+            self._passed_over("malformed")
         for kind, end, body in outlook.facets:
             self._feed(Publish(kind, SCHEMA, end, body))
         for event in outlook.events:
--- a/martentide_lab/fleet/simulated.py
+++ b/martentide_lab/fleet/simulated.py
@@ -45,7 +45,7 @@
     offset: float
     core: Core | None = None
     stopped: bool = False
-    waiting: list[bytes] = field(default_factory=list)
+    waiting: list[bytes | Datagram] = field(default_factory=list)
     due: float = 0.0  # what the queue holds for it
     sent: int = 0  # bytes
     datagrams: int = 0
@@ -68,7 +68,9 @@
         zones: int = 3,
         seeds: int = 3,
         name: str = "f",
+        wire: bool = True,  # False: datagrams go as they are, which is quicker; damaged ones are lost
     ) -> None:
+        self.wire = wire
         self.dice = random.Random(seed)
         self.terms = terms or Terms()
         self.network = Network(base or Link(delay=1.0, jitter=2.0))
@@ -94,10 +96,14 @@
 
     def run(self, until: float) -> None:
         while self.queue and self.queue[0][0] <= until:
-            self.now, _, what = heapq.heappop(self.queue)
-            what()
+            self.step()
         self.now = until
 
+    def step(self) -> None:
+        """The next thing that happens."""
+        self.now, _, what = heapq.heappop(self.queue)
+        what()
+
     def play(self, steps: tuple[Step, ...], until: float) -> list[Event]:
         """All members start at once; then the steps; the log of it all."""
         for step in steps:
@@ -197,6 +203,10 @@
     def _act(self, node: Node, action: Action) -> None:
         match action:
             case Send(address, datagram):
+                if not self.wire:
+                    node.datagrams += 1
+                    self._carry(node.name, address, datagram)
+                    return
                 data = self.frame.write(datagram)
                 node.sent += len(data) + 28  # with the headers of IP and UDP
                 node.datagrams += 1
@@ -216,15 +226,17 @@
         for observe in self.observers:
             observe(node.name, action)
 
-    def _carry(self, source: str, address: Address, data: bytes) -> None:
+    def _carry(self, source: str, address: Address, data: bytes | Datagram) -> None:
         target = self.at.get(address)
         if target is None:
             return
         for fate in self.network.fates((source, target), self.dice):
-            body = damaged(data, self.dice) if fate.damaged else data
+            body = data
+            if fate.damaged:
+                body = damaged(data, self.dice) if isinstance(data, bytes) else b""
             self.later(fate.delay, lambda body=body: self._arrive(target, body))  # type: ignore[misc]
 
-    def _arrive(self, name: str, data: bytes) -> None:
+    def _arrive(self, name: str, data: bytes | Datagram) -> None:
         node = self.nodes[name]
         if node.core is None:
             return
@@ -232,6 +244,9 @@
             if len(node.waiting) < MOST_WAITING:
                 node.waiting.append(data)
             return
+        if isinstance(data, Datagram):
+            self.feed(name, Heard(data))
+            return
         try:
             said = self.frame.read(data)
         except Unreadable as error:
--- a/martentide_lab/sim.py
+++ b/martentide_lab/sim.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from martentide.fleet.duty import Duty, look
 from martentide.interface import (
     Action,
     AttemptEnded,
@@ -38,12 +39,15 @@
     TimerDue,
 )
 from martentide.rules import Controller
+from martentide_lab.fleet.simulated import SimulatedFleet
 
 LINK = 8.0  # ms one way
 LONGEST_WAIT = 2_500.0  # ms in line, beyond which a set-up is turned away
 REFUSAL_WORK = 0.2  # of a set-up
 REFRESH = 300.0  # ms between two refreshes of a server's report
 REDIALS = 3
+PROBE_LIMIT = 1_000.0  # ms after which a test counts as unanswered
+LOOK = 250.0  # ms between two looks at the duty of testing
 
 
 @dataclass
@@ -59,6 +63,9 @@
     told: float = 0.0
     told_at: float = -1e9
     came: list[float] = field(default_factory=list)
+    hung: bool = False  # answers no set-up
+    deaf: bool = False  # answers no test either
+    tests: list[float] = field(default_factory=list)
 
     def capacity(self, now: float, settings: Settings) -> float:
         """Set-ups a second at that time."""
@@ -104,6 +111,8 @@
         self.attempts: Counter[int] = Counter()
         self.sent: list[tuple[float, str]] = []
         self.lives = [0] * proxies
+        self.fleet: SimulatedFleet | None = None
+        self.duties: list[Duty] = []
         self.controllers = [self.fresh(at) for at in range(proxies)]
 
     def at(self, when: float, what: Callable[[], None]) -> None:
@@ -111,10 +120,38 @@
 
     def run(self, until: float) -> None:
         while self.queue and self.queue[0][0] <= until:
+            if self.fleet is not None:
+                self.fleet.run(self.queue[0][0])
             self.now, _, what = heapq.heappop(self.queue)
             what()
         self.now = until
 
+    # ---- the fleet ----------------------------------------------------------------------------------------
+
+    def join(self, fleet: SimulatedFleet) -> None:
+        """The proxies are members, ``n0`` and on, from now on; the fleet's clock is this one."""
+        self.fleet = fleet
+        fleet.now = self.now
+        fleet.acquaint()
+        self.duties = [Duty(node.name, node.zone) for node in fleet.nodes.values()]
+        for at in range(len(self.controllers)):
+            self.at(self.now + self.dice.uniform(0.0, LOOK), lambda at=at: self._look(at))  # type: ignore[misc]
+
+    def _look(self, at: int) -> None:
+        assert self.fleet is not None
+        self.at(self.now + LOOK, lambda: self._look(at))
+        name, node = f"n{at}", self.fleet.nodes[f"n{at}"]
+        if node.core is None or node.stopped:
+            return
+        now = node.clock(self.now)
+        outlook, _ = look(node.core, self.duties[at], now, self.controllers[at].servers)
+        for kind, end, body in outlook.facets:
+            self.fleet.publish(name, kind, body, end)
+        for event in outlook.events:
+            self.feed(at, event)
+        for server in outlook.tests:
+            self._probe(at, server)
+
     # ---- proxies ------------------------------------------------------------------------------------------
 
     def entries(self) -> tuple[ServerEntry, ...]:
@@ -153,6 +190,9 @@
     def feed(self, at: int, event: Event) -> None:
         controller = self.controllers[at]
         self._acted(at, controller.handle(self.now, event))
+        told = isinstance(event, (ProbeEnded, Stands, AttemptEnded))
+        if self.fleet is not None and told and event.server in self.duties[at].watched:  # type: ignore[union-attr]
+            self.duties[at].observe(self.fleet.nodes[f"n{at}"].clock(self.now), event)
 
     def _acted(self, at: int, actions: list[Action]) -> None:
         life = self.lives[at]
@@ -170,15 +210,26 @@
                     if (ref, attempt) in self.out:
                         self.at(self.now, lambda r=ref, a=attempt: self._end(r, a, Ending.CANCELLED))  # type: ignore[misc]
                 case Probe(name):
-                    self.at(self.now + 2 * LINK, lambda n=name: self._probed(at, life, n))  # type: ignore[misc]
+                    self._probe(at, name)
 
     def _timer(self, at: int, life: int, token: int) -> None:
         if self.lives[at] == life:
             self.feed(at, TimerDue(token))
 
+    def _probe(self, at: int, name: str) -> None:
+        server, life = self.servers.get(name), self.lives[at]
+        if server is not None:
+            server.tests.append(self.now + LINK)
+            after = PROBE_LIMIT if server.deaf else 2 * LINK
+            self.at(self.now + after, lambda: self._probed(at, life, name))
+
     def _probed(self, at: int, life: int, name: str) -> None:
         server = self.servers.get(name)
-        if self.lives[at] == life and server is not None:
+        if self.lives[at] != life or server is None:
+            return
+        if server.deaf:
+            self.feed(at, ProbeEnded(name, Ending.TIMED_OUT, False, PROBE_LIMIT, None))
+        else:
             self.feed(at, ProbeEnded(name, Ending.DELIVERED, False, 2 * LINK, server.report(self.now)))
 
     def _send(self, at: int, action: SendSetUp) -> None:
@@ -201,6 +252,8 @@
             self._end(*key, Ending.UNREACHABLE)
             return
         server.came.append(self.now)
+        if server.hung:
+            return
         work = 1000.0 / server.capacity(self.now, self.settings)
         if server.wait(self.now) > LONGEST_WAIT:
             server.busy_until += REFUSAL_WORK * work
