--- a/martentide_lab/fleet/rig.py
+++ b/martentide_lab/fleet/rig.py
@@ -97,6 +97,7 @@
         self.held: dict[str, dict[str, int]] = {}  # by observer: the states it holds of others
         self.excused: list[tuple[str, float, float]] = []  # proxy, from, until: calls then are not owed
         self.began = time.monotonic()
+        self.played_at = 0.0  # when the script began
         self.loop = asyncio.get_running_loop()
         self.changed = asyncio.Event()
 
@@ -222,7 +223,7 @@
 
     async def play(self) -> list[Event]:
         """All steps in their time, counted from now, until the script's end."""
-        begin = self.now()
+        begin = self.played_at = self.now()
         for step in self.script.steps:
             await self._until(begin + step.at)
             await self.do(step)
