--- a/martentide/fleet/core.py
+++ b/martentide/fleet/core.py
@@ -743,7 +743,7 @@
             if state is State.SUSPECT:
                 word = msgspec.structs.replace(word, state=int(State.ALIVE), by="")
             self._change(known, word, by, f"generation {word.generation}")
-            if old < State.DEAD and known.state is State.ALIVE:
+            if old is State.ALIVE and known.state is State.ALIVE:
                 self.actions.append(Changed(word, old, by, f"began anew, generation {word.generation}"))
             return old is State.DEAD and known.state is State.ALIVE
         if word.generation < known.word.generation or word.life != known.word.life:
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+from collections.abc import Sequence
 
 import msgspec
 import pytest
@@ -21,6 +22,19 @@
     await rig.do(Step(0.0, verb, arguments))
 
 
+async def agree(rig: Rig, about: str, observers: Sequence[str], generation: int) -> None:
+    """Wait until they all hold the member for alive, in that generation."""
+
+    async def agreed() -> bool:
+        said = [await rig.status(name) for name in observers]
+        entries = [one for status in said for one in status["members"] if one["name"] == about]
+        return [(one["state"], one["generation"]) for one in entries] == [("alive", generation)] * len(said)
+
+    async with asyncio.timeout(LIMIT):
+        while not await agreed():
+            await asyncio.sleep(0.1)
+
+
 def test_killed_and_told_to_end_and_started_anew() -> None:
     async def scene(rig: Rig) -> None:
         await do(rig, "kill", "n3")
@@ -143,10 +157,18 @@
             await do(rig, "kill", "n3")
             await asyncio.sleep(0.7)
             await do(rig, "start", "n3")
-            await rig.until(lambda: rig.whole(["n3", "n0", "n1", "n2"]), LIMIT)
-        said = await rig.status("n0")
-        [entry] = [one for one in said["members"] if one["name"] == "n3"]
-        assert entry["state"] == "alive" and entry["generation"] >= 6
+        [*_, last] = [event.fields["life"] for event in rig.log if event.kind == "started"]
+
+        def known() -> bool:
+            """Whether the last that each said of it is that its last life is alive."""
+            said = {
+                event.who: event.fields for event in rig.log if event.kind == "member" and event.about == "n3"
+            }
+            lives = [(one["life"], one["state"]) for who, one in said.items() if who in rig.proxies]
+            return lives == [(last, State.ALIVE)] * 3
+
+        await rig.until(known, LIMIT)
+        await rig.until(rig.whole, LIMIT)
 
     play(scene)
 
@@ -160,17 +182,7 @@
         assert (await rig.status("n1"))["state"] == "displaced"
         said = await rig.status("x1")
         assert {one["name"] for one in said["members"] if one["state"] == "alive"} == {"n0", "n2", "n3"}
-
-        async def agreed() -> bool:
-            entries = [
-                one for name in ("n0", "n2", "n3") for one in (await rig.status(name))["members"]
-                if one["name"] == "n1"
-            ]  # fmt: skip
-            return {(one["state"], one["generation"]) for one in entries} == {("alive", said["generation"])}
-
-        async with asyncio.timeout(LIMIT):
-            while not await agreed():
-                await asyncio.sleep(0.1)
+        await agree(rig, "n1", ("n0", "n2", "n3"), said["generation"])
 
     play(scene)
 
@@ -276,3 +288,51 @@
         assert (await rig.status("n0"))["counts"]["malformed"] > 0
 
     play(scene)
+
+
+def test_few_test_a_hung_server_also_when_they_die_and_on_each_side_of_a_split() -> None:
+    async def scene(rig: Rig) -> None:
+        hung = rig.servers[0]
+
+        async def tests(count: int) -> None:
+            """So many more come."""
+            before = len(hung.tests)
+            async with asyncio.timeout(LIMIT):
+                while len(hung.tests) < before + count:
+                    await asyncio.sleep(0.05)
+
+        async def left_to(name: str) -> set[str]:
+            return set((await rig.status(name))["tests_left_to_others"])
+
+        async def holders(names: list[str]) -> list[str]:
+            """Who tests: all but two leave it to others."""
+            async with asyncio.timeout(LIMIT):
+                while True:
+                    found = [name for name in names if hung.name not in await left_to(name)]
+                    if len(found) <= 2:
+                        return found
+                    await asyncio.sleep(0.05)
+
+        await do(rig, "server", "s0", "hung")
+        await tests(1)
+        first = await holders(list(rig.proxies))
+        await tests(4)
+        await do(rig, "kill", ",".join(first))
+        await rig.until(lambda: rig.known_dead(*first), LIMIT)
+        await tests(4)
+        second = await holders(list(rig.proxies))
+        assert second and not set(first) & set(second)
+        here, there = list(rig.proxies)[:2], list(rig.proxies)[2:]
+        await do(rig, "split", ",".join(here), ",".join(there))
+        await rig.until(lambda: rig.known_dead(*here, by=there) and rig.known_dead(*there, by=here), LIMIT)
+        for side in (here, there):
+            assert [name for name in side if hung.name not in await left_to(name)]
+        await do(rig, "heal")
+        await do(rig, "server", "s0", "well")
+        await rig.until(rig.whole, LIMIT)
+        before = len(hung.arrivals)
+        async with asyncio.timeout(LIMIT):
+            while len(hung.arrivals) < before + 20:  # all send calls there again
+                await asyncio.sleep(0.1)
+
+    play(scene, proxies=6, servers=3, rate=60.0)
