Fleet tables that need no walk each second; faults of both directions and of callers' paths

Cause by profile: all members were walked each second for the dead and for addresses, and the order of 200 was sorted anew for each doubted server at each look. Change: the dead, addresses and owners of facets are kept as they change; places are kept while the same live. The rig stands between callers and proxies too, cuts TCP one way, and starves processes and moves their wall clocks by script.

--- a/martentide/fleet/core.py
+++ b/martentide/fleet/core.py
@@ -203,9 +203,12 @@
         life = life or self.random.getrandbits(62) + 1
         self.me = MemberWord(name, 1, life, 1, State.ALIVE, zone, *address)
         self.members: dict[Name, Member] = {}
+        self.gone: set[Name] = set()  # the dead and departed among them
+        self.places: dict[Address, Name] = {}  # who was heard of there last
         self.sums = [0] * BUCKETS
         self.past: OrderedDict[Address, None] = OrderedDict()  # of the dead that were forgotten
         self.facets: dict[int, Facet] = {}
+        self.owners: dict[int, dict[Name, None]] = {}  # who may have a facet of that kind
         self.news: OrderedDict[Name, int] = OrderedDict()  # and how often it was told
         self.facet_news: OrderedDict[tuple[Name, int], int] = OrderedDict()
         self.counts: Counter[str] = Counter()
@@ -248,9 +251,13 @@
 
     def facets_of(self, kind: int, now: float) -> Iterator[tuple[MemberWord, FacetWord, float]]:
         """The facets of that kind that count, the owner's word, and their age."""
-        for member in self.members.values():
-            known = member.facets.get(kind)
-            if known is not None and member.up and known.counts(now):
+        owners = self.owners.get(kind, {})
+        for name in list(owners):
+            member = self.members.get(name)
+            known = None if member is None else member.facets.get(kind)
+            if member is None or known is None:
+                del owners[name]
+            elif member.up and known.counts(now):
                 yield member.word, known.word, known.age(now)
 
     def handle(self, now: float, event: Event) -> list[Action]:
@@ -300,6 +307,8 @@
         for member in self.members.values():
             self._remember(member.address)
         self.members.clear()
+        self.gone.clear()
+        self.places.clear()
         self.sums = [0] * BUCKETS
         self.order.clear()
         self.suspects.clear()
@@ -442,13 +451,12 @@
     def _reach(self, own: float) -> None:
         """One try at a seed that is nobody's address, at a dead member, or at the address of a past one: so
         that a newcomer finds the fleet, and the halves of one that was split each other."""
-        alone = not any(one.up for one in self.members.values())
+        alone = len(self.gone) == len(self.members)
         gap = NEWCOMERS_GAP if alone else self.terms.reach_gap
         self.reach_due = own + gap * self.random.uniform(0.8, 1.2)
-        known = {one.address for one in self.members.values() if one.up}
-        seeds = [one for one in self.seeds if one not in known]
-        dead = [one for one in self.members.values() if one.state is State.DEAD]
-        past = [one for one in self.past if one not in known]
+        seeds = [one for one in self.seeds if not self._taken(one)]
+        dead = [self.members[name] for name in self.gone if self.members[name].state is State.DEAD]
+        past = [one for one in self.past if not self._taken(one)]
         ways: list[Sequence[Address | Member]] = [way for way in (seeds, dead, past) if way]
         if not ways:
             return
@@ -458,26 +466,28 @@
         else:
             self._send_to(one, Kind.PING, 0)
 
+    def _taken(self, address: Address) -> bool:
+        """Whether a living member has the address."""
+        member = self.members.get(self.places.get(address, ""))
+        return member is not None and member.up and member.address == address
+
     def _forget(self, own: float) -> None:
         """What is past its end: facets, the dead, and addresses that are somebody's again."""
-        for member in self.members.values():
+        for member in [one for one in self.members.values() if one.facets]:
             old = [kind for kind, facet in member.facets.items() if facet.age(self.now) >= facet.word.end]
             for kind in old:
                 del member.facets[kind]
             if old:
                 self._recount(member)
-        for name in [
-            name
-            for name, one in self.members.items()
-            if not one.up and own - one.since >= self.terms.kept_dead
-        ]:
+        for name in [name for name in self.gone if own - self.members[name].since >= self.terms.kept_dead]:
+            self.gone.discard(name)
             member = self.members.pop(name)
+            if self.places.get(member.address) == name:
+                del self.places[member.address]
             if member.state is State.DEAD:
                 self._remember(member.address)
-        if self.past:
-            known = {one.address for one in self.members.values()}
-            for address in [one for one in self.past if one in known]:
-                del self.past[address]
+        for address in [one for one in self.past if one in self.places]:
+            del self.past[address]
 
     def _remember(self, address: Address) -> None:
         self.past[address] = None
@@ -623,8 +633,12 @@
 
     def _change(self, member: Member, word: MemberWord, by: Name, evidence: str) -> None:
         old = member.state
+        if word.generation != member.word.generation and self.places.get(member.address) == word.name:
+            del self.places[member.address]
         member.word = word
         member.since = self.own
+        self.places[member.address] = word.name
+        (self.gone.discard if member.up else self.gone.add)(word.name)
         self._tell(member)
         if old is not member.state:
             self.actions.append(Changed(word, old, by, evidence))
@@ -798,6 +812,7 @@
             self.counts["no-room"] += 1
             return
         member = self.members[word.name] = Member(word, self.own, self.own)
+        self.places[member.address] = word.name
         self.order.insert(self.random.randint(0, len(self.order)), word.name)
         self._recount(member)
         if not bulk:  # others hold it already, or find out by comparing as this one did
@@ -898,6 +913,7 @@
         if facet.age(self.now) >= word.end:
             return
         member.facets[word.kind] = facet
+        self.owners.setdefault(word.kind, {})[word.owner] = None
         self._recount(member)
         if not bulk:
             self._tell_facet(word.owner, word.kind)
--- a/martentide/fleet/duty.py
+++ b/martentide/fleet/duty.py
@@ -104,6 +104,8 @@
     name: str
     zone: str
     scores: dict[tuple[str, str], int] = field(default_factory=dict)
+    living: dict[str, str] = field(default_factory=dict)  # for whom the places are
+    places: dict[str, int] = field(default_factory=dict)  # the own one, by server
     own: dict[tuple[str, bool], Known] = field(default_factory=dict)  # by server, and whether by a trial
     tested: dict[str, float] = field(default_factory=dict)
     told: dict[tuple[str, bool], float] = field(default_factory=dict)  # freshest word given to the decisions
@@ -149,6 +151,19 @@
                 break
         return ranked
 
+    def _place(self, server: str, living: Mapping[str, str]) -> int:
+        """The own place in the order; kept while the same live."""
+        if living != self.living:
+            self.living = dict(living)
+            self.places.clear()
+        known = self.places.get(server)
+        if known is None:
+            if len(self.places) >= MOST_SCORES:
+                self.places.clear()
+            known = self.order(server, living).index(self.name) if self.name in living else 0
+            self.places[server] = known
+        return known
+
     # ---- one look -----------------------------------------------------------------------------------------
 
     def look(
@@ -175,7 +190,7 @@
         publish: list[Finding] = []
         tell: list[str] = []
         for server in sorted(watched):
-            place = self.order(server, living).index(self.name) if self.name in living else 0
+            place = self._place(server, living)
             test, trial = words.get((server, False)), words.get((server, True))
             if place >= HOLDERS and self._fresh(test, now, place):
                 no_tests.add(server)
--- a/martentide_lab/fleet/rig.py
+++ b/martentide_lab/fleet/rig.py
@@ -80,6 +80,11 @@
     ) -> None:
         self.script, self.fleet, self.extra, self.seeds, self.load = script, fleet, extra, seeds, load
         self.show, self.clocks = show, dict(clocks or {})
+        for step in script.steps:
+            if step.verb == "clock":
+                self.clocks |= {
+                    name: 0.0 for name in split_names(step.arguments[0]) if name not in self.clocks
+                }
         self.via: dict[str, dict[str, str]] = {}
         self.network = Network(base)
         self.hub = Hub(self.network, script.seed)
@@ -92,7 +97,7 @@
         self.loads: dict[str, Load] = {}
         self.all_loads: list[tuple[str, Load]] = []
         self.tasks: dict[str, asyncio.Task[None]] = {}
-        self.others: set[asyncio.Task[None]] = set()
+        self.starving: dict[str, asyncio.Task[None]] = {}
         self.log: list[Event] = []
         self.held: dict[str, dict[str, int]] = {}  # by observer: the states it holds of others
         self.excused: list[tuple[str, float, float]] = []  # proxy, from, until: calls then are not owed
@@ -117,9 +122,10 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        for task in (*self.tasks.values(), *self.others):
+        tasks = (*self.tasks.values(), *self.starving.values())
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks.values(), *self.others, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         for proxy in (*self.proxies.values(), *self.old):
             await proxy.kill()
         for relay in self.relays.values():
@@ -182,6 +188,11 @@
         await proxy.start()
         if not self.fleet:
             self.record("started", name, name, life=0)
+        if (old := self.relays.pop(("callers", name), None)) is not None:
+            await old.stop()
+        relay = self.relays[("callers", name)] = Relay(proxy.callers)
+        await relay.start()
+        self._relays()
         self._offer(name)
 
     def _offer(self, name: str) -> None:
@@ -189,7 +200,8 @@
             return
         classes = [kind[0] for kind in CLASSES]
         rate = self.script.rate / self.script.proxies
-        load = Load(self.proxies[name].callers, classes, rate, self.dice.getrandbits(32))
+        relay = self.relays[("callers", name)]
+        load = Load(relay.address, classes, rate, self.dice.getrandbits(32))
         self.loads[name] = load
         self.all_loads.append((name, load))
         self.tasks[name] = self.loop.create_task(load.run())
@@ -249,6 +261,12 @@
             case "stop" | "continue":
                 for name in names:
                     self._stop_or_wake(name, step.verb)
+            case "starve" | "feed":
+                for name in names:
+                    self._starve(name, step.verb)
+            case "clock":
+                for name in names:
+                    self.set_clock(name, step.arguments[1])
             case "upgrade":
                 await asyncio.gather(*(self.upgrade(name) for name in names))
             case "server":
@@ -302,11 +320,39 @@
             self.record("stopped", name, name)
         else:
             proxy.send(signal.SIGCONT)
-            for at, (who, since, until) in enumerate(self.excused):
-                if who == name and until == float("inf"):
-                    self.excused[at] = (who, since, self.now() + 500.0)
+            self._forgive(name)
             self.record("continued", name, name)
 
+    def _starve(self, name: str, verb: str) -> None:
+        """Keep the process from the processor nine tenths of the time, until it is fed again."""
+        if (task := self.starving.pop(name, None)) is not None:
+            task.cancel()
+        if verb == "starve" and name in self.proxies:
+            self.record("starved", name, name)
+            self.excused.append((name, self.now() - TIME_LEFT - 500.0, float("inf")))
+            self.starving[name] = self.loop.create_task(self._keep_from_running(self.proxies[name]))
+        elif name in self.proxies:
+            self.record("fed", name, name)
+            self._forgive(name)
+
+    @staticmethod
+    async def _keep_from_running(proxy: Proxy) -> None:
+        try:
+            while proxy.process is not None and proxy.process.returncode is None:
+                proxy.send(signal.SIGSTOP)
+                await asyncio.sleep(0.25)
+                proxy.send(signal.SIGCONT)
+                await asyncio.sleep(0.03)
+        finally:
+            if proxy.process is not None and proxy.process.returncode is None:
+                proxy.send(signal.SIGCONT)
+
+    def _forgive(self, name: str) -> None:
+        """From now on calls at the member are owed again."""
+        for at, (who, since, until) in enumerate(self.excused):
+            if who == name and until == float("inf"):
+                self.excused[at] = (who, since, self.now() + 500.0)
+
     async def upgrade(self, name: str) -> None:
         """A second process takes over, then the first is told to end."""
         first = self.proxies.get(name)
@@ -340,10 +386,10 @@
                 self.board.tell([(server, READY)])
 
     def _relays(self) -> None:
-        """TCP paths: what is cut in either direction passes nothing, and stays open as on a real network."""
-        for (name, target), relay in self.relays.items():
-            cut = self.network.link((name, target)).cut or self.network.link((target, name)).cut
-            (relay.freeze if cut else relay.thaw)()
+        """TCP paths: what is cut passes nothing that way, and stays open as on a real network."""
+        for (source, target), relay in self.relays.items():
+            there, back = self.network.link((source, target)), self.network.link((target, source))
+            relay.freeze(there.cut, back.cut)
 
     # ---- what is seen -----------------------------------------------------------------------------------
 
--- a/martentide_lab/fleet/story.py
+++ b/martentide_lab/fleet/story.py
@@ -32,6 +32,9 @@
     "duplicate": ("SHARE",),
     "damage": ("SHARE",),
     "server": ("NAMES", "WORD"),  # hung, mute (to set-ups only), well, full, error, gone, back
+    "starve": ("NAMES",),  # kept from the processor nine tenths of the time
+    "feed": ("NAMES",),
+    "clock": ("NAMES", "S"),  # the wall clock is so many s ahead now
     "surge": ("SHARE",),  # times the load
     "upgrade": ("NAMES",),  # a second process takes over
 }
@@ -137,13 +140,15 @@
             raise ScriptError(f"{where}: expected a share, found {value!r}")
         if kind == "MS" and (type(value) not in (int, float) or not 0 <= value <= 60_000):
             raise ScriptError(f"{where}: expected milliseconds, found {value!r}")
+        if kind == "S" and (type(value) not in (int, float) or abs(value) > 1e7):
+            raise ScriptError(f"{where}: expected seconds, found {value!r}")
         if kind == "WORD" and value not in SERVER_WORDS:
             raise ScriptError(f"{where}: expected one of {', '.join(SERVER_WORDS)}, found {value!r}")
     return Step(at * 1000.0, verb, tuple(rest))
 
 
 def _check_names(script: Script, path: str) -> None:
-    known = {*script.names(), *(f"s{at}" for at in range(script.servers)), "board"}
+    known = {*script.names(), *(f"s{at}" for at in range(script.servers)), "board", "callers"}
     for step in script.steps:
         for kind, value in zip(VERBS[step.verb], step.arguments, strict=True):
             for name in split_names(value) if kind == "NAMES" else ():
--- a/martentide_lab/relay.py
+++ b/martentide_lab/relay.py
@@ -7,7 +7,8 @@
 
 
 class Relay:
-    """Passes bytes both ways; ``cut`` resets what is open, ``freeze`` keeps it open and passes nothing."""
+    """Passes bytes both ways. ``cut`` resets what is open; ``freeze`` keeps it open and passes nothing, both
+    ways or one: ``there`` to the target, ``back`` from it."""
 
     def __init__(self, target: str) -> None:
         host, _, port = target.rpartition(":")
@@ -16,8 +17,8 @@
         self.port = 0
         self.writers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task[None]] = set()
-        self.flows = asyncio.Event()
-        self.flows.set()
+        self.there, self.back = asyncio.Event(), asyncio.Event()
+        self.thaw()
         self.cuts = 0
 
     @property
@@ -35,15 +36,17 @@
             writer.close()
             return
         self.writers |= {writer, back}
-        for source, sink in ((reader, back), (there, writer)):
-            task = asyncio.get_running_loop().create_task(self._pass(source, sink))
+        for source, sink, flows in ((reader, back, self.there), (there, writer, self.back)):
+            task = asyncio.get_running_loop().create_task(self._pass(source, sink, flows))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-    async def _pass(self, source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
+    async def _pass(
+        self, source: asyncio.StreamReader, sink: asyncio.StreamWriter, flows: asyncio.Event
+    ) -> None:
         try:
             while data := await source.read(65536):
-                await self.flows.wait()
+                await flows.wait()
                 sink.write(data)
                 await sink.drain()
         except OSError:
@@ -62,11 +65,13 @@
             writer.transport.abort()
         self.writers.clear()
 
-    def freeze(self) -> None:
-        self.flows.clear()
+    def freeze(self, there: bool = True, back: bool = True) -> None:
+        """Pass nothing in these directions; what is not named passes."""
+        (self.there.clear if there else self.there.set)()
+        (self.back.clear if back else self.back.set)()
 
     def thaw(self) -> None:
-        self.flows.set()
+        self.freeze(False, False)
 
     async def stop(self) -> None:
         if self.server is not None:
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import signal
 from collections.abc import Sequence
 
 import msgspec
@@ -102,13 +101,9 @@
 
 def test_a_process_kept_from_the_processor_accuses_nobody_to_death() -> None:
     async def scene(rig: Rig) -> None:
-        proxy = rig.proxies["n2"]
-        rig.excused.append(("n2", 0.0, float("inf")))
-        for _ in range(30):
-            proxy.send(signal.SIGSTOP)
-            await asyncio.sleep(0.25)
-            proxy.send(signal.SIGCONT)
-            await asyncio.sleep(0.03)
+        await do(rig, "starve", "n2")
+        await asyncio.sleep(8.0)
+        await do(rig, "feed", "n2")
         others = [e for e in rig.log if e.kind == "member" and e.fields["state"] == State.DEAD]
         assert not [e for e in others if e.about != "n2"]
         await rig.until(rig.whole, LIMIT)
