Leave trial calls to others only at servers that answer no test; hearsay makes no image

Cause: one doubt took all members' trial calls away from a server that was only slow; the two holders have 0.6 calls a second each and hardly ever draw it, so it stayed unused, the others filled up and were doubted next. Waits told by members made images at all. Change: trials are left to others only while tests fail as well; of a wait only its absence is passed on. Ruled out: bytes (facets came) and the order's cost.

--- a/martentide/fleet/duty.py
+++ b/martentide/fleet/duty.py
@@ -31,6 +31,7 @@
 DOUBTS_REFRESH = 2_000.0
 FINDINGS_GAP = 400.0  # ms between two publications
 TELLERS = 3  # members that tell of one doubt: more would add up with the fleet
+QUICK = 100.0  # ms of wait up to which a call counts as served at once
 RECENT = 1_000.0  # ms: a bad word of another as new as this makes an own one no news
 MOST_SERVERS = 24  # named in one facet
 MOST_SCORES = 32_768  # hashes kept
@@ -197,7 +198,10 @@
             elif server not in mine and place < HOLDERS + STAND_INS and self._due(server, now):
                 tests.append(server)  # where the own decisions doubt it, they test by themselves
                 self.tested[server] = now
-            if place >= HOLDERS and trial is not None and not trial.good and self._fresh(trial, now, place):
+            # A server that answers tests is tried by everybody as without a fleet: where each has few calls
+            # the holders' take too long to find it well, and all would miss what it can do.
+            silent = test is not None and not test.good and self._fresh(test, now, place)
+            if place >= HOLDERS and silent and trial is not None and not trial.good:
                 no_trials.add(server)
             publish += self._own_findings(server, place, now, heard)
             if server in mine and self._tells(server, place, sum(server in one for one in doubts)):
@@ -264,7 +268,8 @@
         for key, known in words.items():
             if known.good and known is not self.own.get(key) and known.at > self.told.get(key, -1e9) + 50.0:
                 self.told[key] = known.at
-                wait = float(known.wait) if known.wait >= 0 else None
+                # Hearsay of a wait makes no image: only that there was none is passed on.
+                wait = 0.0 if 0 <= known.wait < QUICK else None
                 events.append(PeerNews(key[0], now - known.at, wait))
         return events
 
--- a/martentide_lab/servers.py
+++ b/martentide_lab/servers.py
@@ -58,7 +58,7 @@
     script: Script = field(default_factory=Script)
     arrivals: list[Arrival] = field(default_factory=list)
     keep_arrivals: bool = True
-    tests: list[float] = field(default_factory=list)  # when each came, Unix ms
+    tests: list[float] = field(default_factory=list)  # when each that asks for a report came, Unix ms
 
     def __post_init__(self) -> None:
         self.server: asyncio.Server | None = None
@@ -133,7 +133,8 @@
             self.standing.pop(message.call, None)
             writer.write(write_message(Type.RELEASE_HEARD, message.call))
         elif message.type == Type.TEST:
-            self.tests.append(unix_ms())
+            if message.cause() == 1:  # the others look after links and calls that stand
+                self.tests.append(unix_ms())
             if self.script.deaf:
                 return
             parameters: dict[int, bytes] = {Code.CAUSE: b"\x01", Code.REPORT: self.report()}
