Name the reason why the duty is not kept across restarts; read the last life when it is known

The list of the decisions' fields in learned/schema.py lacked the new one. The test of five restarts took a life that was not yet the last, since the fleet is joined after the service is up.

--- a/martentide/learned/schema.py
+++ b/martentide/learned/schema.py
@@ -105,6 +105,7 @@
     "peer_rates": Kept(False, "peers tell them each second"),
     "inside_share": Kept(False, "as taken"),
     "own_share": Kept(False, "told in an upgrade, for as long as it lasts"),
+    "duty": Kept(False, "told by the fleet, anew after each start"),
     "pace": Kept(False, "would let a cold server have more than a fresh proxy gives it"),
     "started": Kept(False, "when this process began to look"),
     "calls": Kept(False, "calls of a process that is no more"),
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -152,10 +152,10 @@
             await do(rig, "kill", "n3")
             await asyncio.sleep(0.7)
             await do(rig, "start", "n3")
-        [*_, last] = [event.fields["life"] for event in rig.log if event.kind == "started"]
 
         def known() -> bool:
             """Whether the last that each said of it is that its last life is alive."""
+            [*_, last] = [event.fields["life"] for event in rig.log if event.kind == "started"]
             said = {
                 event.who: event.fields for event in rig.log if event.kind == "member" and event.about == "n3"
             }
