Test silent servers later and on one link, suspects only until they answer

Change: silence is tested after 3.5 s and the first time on one link only (with LOST_AFTER the 8 s in which callers must hear that their calls are over still hold); a suspect is probed only until something came back from it, after which a caller's trial tells more; the window of a large fleet on what is unanswered everywhere is half as wide, and by what the proxy itself served where that is more.

--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -26,7 +26,9 @@
 MOST_LINKS = 4  # to one server: so many get its group state
 TEST_LIMIT = 0.25  # s a test may take
 REDIAL_AFTER = (0.5, 1.0)  # s, drawn between the two, after a dial that failed or a link that ended
-TEST_AFTER = 1.5  # s without a byte from a server that holds calls, after which it is tested
+# s without a byte from a server that holds calls, after which it is tested: with LOST_AFTER still under the
+# 8 s in which callers must hear that their calls are over. Sooner, the tests of all proxies add up.
+TEST_AFTER = 3.5
 TEST_AGAIN = 0.5  # s between such tests
 STALL = (
     0.06  # s in which a message begun by a server must be whole: its set-up can still go elsewhere in time
@@ -475,11 +477,12 @@
             for way in self.ways:
                 way.link.close(Reason.SILENT)
         elif again <= 0 and self.held:
-            if self.asked_at is not None:
+            if asked := self.asked_at is not None:
                 for way in self.ways:
                     self._doubt(way.link, self.asked_at)
             self._ask()
-            for way in self.ways:
+            # On one link, the first time: any byte on any shows that the server is there.
+            for way in self.ways if asked else self.ways[-1:]:
                 test = next(self.test_numbers).to_bytes(8, "big")
                 way.link.write(write_message(Type.TEST, test, {Code.CAUSE: b"\0"}))
         if any(way.link.heard_at > way.link.opened_at and not way.doubted for way in self.ways):
--- a/martentide/rules.py
+++ b/martentide/rules.py
@@ -53,6 +53,7 @@
 UNANSWERED = 0.6  # share of the tolerable wait: while a set-up is unanswered for so long, none is added
 OVERTAKEN = 60.0  # ms: a set-up sent so much before one that stands is lost; links vary by less
 MOST_OUT = 2  # unanswered set-ups at a server, or so many times what it is offered in one SLOW_LAG
+OUT_OF_PACE = 0.8  # of what stood lately in that time, unanswered in a proxy of a large fleet
 SLOW_LAG = 150.0  # ms: a server whose last set-up took longer gets in such a lag what it gets in SLOW_LAG
 TRIAL_GAP = 300.0  # ms before the first single trial call to a suspect server; doubles with each that fails
 LONG_SILENCE = 6000.0  # ms without a connection after which a server that answers again is taken for cold
@@ -488,8 +489,10 @@
             if self.fresh[first := next(iter(self.fresh))] > now - UNANSWERED * self.tolerable:
                 break
             del self.fresh[first]
-        most = MOST_OUT * len(self.servers) * self.part / max(1e-9, 1.0 - self.part)  # none for up to FEW
-        return len(self.fresh) >= max(1.0, most)
+        most = len(self.servers) * self.part / max(1e-9, 1.0 - self.part)  # none for up to FEW
+        size = sum(server.entry.size for server in self.servers.values())
+        own = OUT_OF_PACE * self.pace * size * UNANSWERED * self.tolerable / 1000.0  # by what it serves
+        return len(self.fresh) >= max(1.0, most, own)
 
     def _send(self, call: Call, server: Server, now: float) -> None:
         self.fresh[(call.ref, call.attempts)] = now
@@ -706,7 +709,9 @@
             self._tell_peers(now)
         if self.settings.may_probe:
             for server in self.servers.values():
-                useful = server.suspect or self.settings.report_by is ReportBy.PROBES
+                # Once something came back a caller's trial tells more, and tests of a whole fleet add up.
+                useful = server.suspect and server.heard_at < server.failed_at
+                useful = useful or self.settings.report_by is ReportBy.PROBES
                 useful = useful and server.entry.name not in self.duty.no_tests
                 if useful and not server.probe_out and now >= server.probe_due:
                     server.probe_out = True
