--- a/benchmarks/fleet_membership.py
+++ b/benchmarks/fleet_membership.py
@@ -63,7 +63,7 @@
         resident = {name: rig.resident(name) for name in names}
         began, sent = rig.now(), sum(rig.hub.sent.values())
         used = {name: processor_seconds(rig.proxies[name]) for name in names}
-        spent = 0.0
+        spent = begun = 0.0
         while rig.now() - began < seconds * 1000.0:
             for name in dice.sample(names, 2):
                 await rig.do(Step(0, "stop", (name,)))
@@ -82,7 +82,8 @@
                 missed += 1
             detect += delays(rig, name, since, (State.DEAD, State.LEFT)).values()
             await rig.do(Step(0, "start", (name,)))
-            used[name] = 0.0
+            used[name] = processor_seconds(rig.proxies[name])  # imports and settings: no cost of the fleet
+            begun += used[name]
             since = rig.now() - 1_000.0
             try:
                 await rig.until(rig.whole, LIMIT)
@@ -112,7 +113,8 @@
             "heal_s": round(max(heal, default=-1_000.0) / 1000.0, 3),
             "spread_p99_ms": round(1000 * quantile(spread, 0.99)),
             "bytes_per_s": round((sum(rig.hub.sent.values()) - sent) / span / processes),
-            "cpu_share": round(spent / span / processes, 4), "rss_growth_mb": round(growth, 2),
+            "cpu_share": round(spent / span / processes, 4),
+            "start_cpu_s": round(begun / max(1, kills), 3), "rss_growth_mb": round(growth, 2),
             "stale_raised": sum(line.startswith("not-raised") for line in broken),
             "rules_broken": len(broken),
         }  # fmt: skip
--- /dev/null
+++ b/benchmarks/fleet_overload.py
@@ -0,0 +1,184 @@
+"""Overload handled alone and as one: ``python -m benchmarks.fleet_overload [--processes N] [--short]``.
+
+Real processes, servers with a processor and a line, callers who dial again: 1.7 times the planned load for
+6 s, and what comes after it. Variants are played in turn for each seed. Beside it the same in simulated time.
+The last line is ``RESULT {json}``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+import statistics
+import sys
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import click
+
+from martentide.settings import settings_from
+from martentide_lab.fleet.rig import Rig
+from martentide_lab.fleet.simulated import SimulatedFleet
+from martentide_lab.fleet.story import Script, Step
+from martentide_lab.proxy import CLASSES, site_settings
+from martentide_lab.sim import Processor, Site
+
+RATE, USE = 20.0, 0.8  # set-ups/s of a server, and the share of it that is planned
+SHARES = (0.74, 0.05, 0.21)  # of the classes
+SURGE, BEGIN, SPAN, END = 1.7, 10.0, 6.0, 34.0  # times the plan; s
+WORTHS = {name: worth for name, worth, _, _ in CLASSES}
+AIMS = {name: aim for name, _, aim, _ in CLASSES}
+VARIANTS = {"alone": None, "duty": "", "fleet": "overload #true"}  # text in the fleet node; None: no fleet
+REDIALS = 3
+
+
+def worth(stories: Iterable[tuple[str, float, float | None]]) -> float:
+    """Worth that stood within the aim over the worth asked for; kind, begin and when it stood, in ms."""
+    got = asked = 0.0
+    for kind, began, stood in stories:
+        asked += WORTHS[kind]
+        if stood is not None and stood - began <= AIMS[kind]:
+            got += WORTHS[kind]
+    return got / asked if asked else 1.0
+
+
+def bound(
+    stories: Sequence[tuple[str, float, float | None]], begin: float, end: float, capacity: float
+) -> float:
+    """What an all-knowing admission serves of the span's stories: the worthiest that the servers can do, a
+    second at a time, with the aim's room at the end of each."""
+    got = asked = 0.0
+    spare = 0.0
+    at = begin
+    while at < end:
+        due = sorted((WORTHS[kind] for kind, began, _ in stories if at <= began < at + 1_000.0), reverse=True)
+        room = capacity + spare
+        served = due[: int(room)]
+        spare = min(0.2 * capacity, max(0.0, room - len(due)))
+        got, asked = got + sum(served), asked + sum(due)
+        at += 1_000.0
+    return min(1.0, got / asked) if asked else 1.0
+
+
+def figures(
+    stories: Sequence[tuple[str, float, float | None]],
+    tries: Sequence[int],
+    homes: Sequence[str],
+    begin: float,
+    capacity: float,
+) -> dict[str, float]:
+    """``begin`` of the surge in ms, on the stories' clock."""
+    until = begin + 1_000.0 * SPAN
+
+    def between(one: float, other: float) -> list[tuple[str, float, float | None]]:
+        return [story for story in stories if one <= story[1] < other]
+
+    surge, steady = between(begin, until), worth(between(begin - 5_000.0, begin))
+    whole = until
+    while whole < until + 16_000.0 and worth(between(whole, whole + 1_000.0)) < 0.95 * steady:
+        whole += 500.0
+    chances: dict[str, list[float]] = {}
+    for at, (kind, began, stood) in enumerate(stories):
+        if begin + 1_000.0 <= began < until and kind == "status-check":
+            chances.setdefault(homes[at], []).append(float(stood is not None and stood - began <= AIMS[kind]))
+    shares = [statistics.mean(one) for one in chances.values() if len(one) >= 8]
+    by_class = {kind: worth([one for one in surge if one[0] == kind]) for kind in WORTHS}
+    order = [by_class[kind] for kind in sorted(WORTHS, key=lambda kind: -WORTHS[kind])]
+    dialled = [tries[at] for at, one in enumerate(stories) if begin <= one[1] < until]
+    return {
+        "surge_worth": worth(surge), "surge_bound": bound(stories, begin, until, capacity),
+        "after_worth": worth(between(until + 2_000.0, until + 6_000.0)),
+        "first_2s_after": worth(between(until, until + 2_000.0)),
+        "recover_s": (whole - until) / 1_000.0, "dials_a_story": statistics.mean(dialled) if dialled else 0.0,
+        "unfairness": max(shares) / max(0.01, min(shares)) if len(shares) > 1 else 1.0,
+        "class_order_kept": float(all(one >= other - 0.03 for one, other in zip(order, order[1:], strict=False))),
+        **{f"surge_{kind}": share for kind, share in by_class.items()},
+    }  # fmt: skip
+
+
+async def real(processes: int, servers: int, extra: str | None, seed: int) -> dict[str, float]:
+    capacity = RATE * servers
+    steps = (Step(1000 * BEGIN, "surge", (SURGE,)), Step(1000 * (BEGIN + SPAN), "surge", (1.0,)))
+    script = Script(
+        proxies=processes, servers=servers, seconds=END, seed=seed, rate=USE * capacity, steps=steps
+    )
+    async with Rig(script, fleet=extra is not None, extra=extra or "", redials=REDIALS, shares=SHARES) as rig:
+        for server in rig.servers:
+            server.script.rate, server.keep_arrivals = RATE, True
+        if extra is not None:
+            await rig.until(rig.whole, 60.0)
+        await rig.play()
+        shift = rig.loop.time() * 1000.0 - rig.now()
+        begin = rig.played_at + shift + 1000 * BEGIN
+        await asyncio.sleep(0.5)
+        told = [(name, story) for name, load in rig.all_loads for story in load.stories]
+        stories = [(story.kind, story.began, story.stood_at) for _, story in told]
+        broken = rig.broken()
+        for line in broken[:5]:
+            print(line, file=sys.stderr)
+        span = sum(len(server.arrivals) for server in rig.servers)
+        return {
+            **figures(stories, [story.tries for _, story in told], [name for name, _ in told], begin, capacity),
+            "set_ups": float(span), "tests": float(sum(len(server.tests) for server in rig.servers)),
+            "rules_broken": float(len(broken)),
+        }  # fmt: skip
+
+
+def simulated(proxies: int, servers: int, variant: str, seed: int) -> dict[str, float]:
+    settings = dataclasses.replace(settings_from(site_settings(servers)), proxies=proxies)
+    machines = [Processor(f"s{at}", at, RATE) for at in range(servers)]
+    site = Site(settings, proxies, machines, seed)
+    if variant != "alone":
+        site.join(SimulatedFleet(proxies, seed, wire=False), sheds=variant == "fleet")
+    planned = USE * RATE * servers
+    site.offer(1000 * END, planned, SHARES)
+    site.now = 1000 * BEGIN
+    site.offer(1000 * (BEGIN + SPAN), planned * (SURGE - 1.0), SHARES)
+    site.now = 0.0
+    site.run(1000 * END + 3_000.0)
+    kinds = [kind.name for kind in settings.classes]
+    stories = [(kinds[one.kind], one.began, one.stood_at) for one in site.stories]
+    tries = [one.tries for one in site.stories]
+    homes = [str(one.home) for one in site.stories]
+    return {**figures(stories, tries, homes, 1000 * BEGIN, RATE * servers), "set_ups": float(len(site.sent))}
+
+
+def mean(plays: Sequence[dict[str, float]]) -> dict[str, float]:
+    return {name: round(statistics.mean(play[name] for play in plays), 3) for name in plays[0]}
+
+
+@click.command()
+@click.option("--processes", default=12, show_default=True)
+@click.option("--servers", default=6, show_default=True)
+@click.option("--seeds", default=5, show_default=True)
+@click.option("--variants", default="alone,duty,fleet", show_default=True)
+@click.option("--sizes", default="8,12,50,200", show_default=True, help="proxies in simulated time")
+@click.option("--short", is_flag=True, help="4 processes, 3 servers, one seed; asserts the counts only")
+def main(processes: int, servers: int, seeds: int, variants: str, sizes: str, short: bool) -> None:
+    if short:
+        processes, servers, seeds, variants, sizes = 4, 3, 1, "fleet", "8"
+    result: dict[str, Any] = {"processes": processes, "servers": servers, "seeds": seeds}
+    chosen = variants.split(",")
+    for size in filter(None, sizes.split(",")):
+        for variant in chosen:
+            plays = [simulated(int(size), 8, variant, seed) for seed in range(1, (2 if short else 3) + 1)]
+            result[f"simulated-{size}-{variant}"] = mean(plays)
+            print(json.dumps({"size": size, "variant": variant, **mean(plays)}), flush=True)
+    real_plays: dict[str, list[dict[str, float]]] = {variant: [] for variant in chosen}
+    for seed in range(1, seeds + 1):
+        for variant in chosen if processes else ():
+            play = asyncio.run(real(processes, servers, VARIANTS[variant], seed))
+            real_plays[variant].append(play)
+            print(json.dumps({"seed": seed, "variant": variant, **play}), flush=True)
+    for variant, kept in real_plays.items():
+        if kept:
+            result[f"real-{variant}"] = mean(kept)
+    if short:
+        assert result["real-fleet"]["rules_broken"] == 0, result
+        assert result["real-fleet"]["class_order_kept"] == 1, result
+    print("RESULT " + json.dumps(result))
+
+
+if __name__ == "__main__":
+    main()
--- a/martentide/extras.py
+++ b/martentide/extras.py
@@ -170,6 +170,7 @@
     advertise: tuple[str, int] | None = None
     seeds: tuple[tuple[str, int], ...] = ()
     secret: str = ""
+    overload: bool = False  # handled together with the other members
     times: TimesOfFleet = TimesOfFleet()
     limits: LimitsOfFleet = LimitsOfFleet()
 
@@ -346,12 +347,13 @@
             if not 1 <= len(child.args) <= 32 or child.properties or child.children:
                 raise ExtrasError(f"{here}: expected 1 to 32 addresses HOST:PORT, found {len(child.args)}")
             values["seeds"] = tuple(_dotted(one, here) for one in child.args)
+        elif child.name == "overload":
+            values["overload"] = _one(child, bool, "#true or #false", here)
         elif child.name in parts:
             values[child.name] = _part(child, parts[child.name], here)
         else:
-            raise ExtrasError(
-                f"{here}: unknown node{_nearest(child.name, [*texts, *addresses, 'seeds', *parts])}"
-            )
+            known = [*texts, *addresses, "seeds", "overload", *parts]
+            raise ExtrasError(f"{here}: unknown node{_nearest(child.name, known)}")
     for name in ("name", "listen"):
         if name not in values:
             raise ExtrasError(f"{where}: expected a node {name}, found none")
--- a/martentide/fleet/core.py
+++ b/martentide/fleet/core.py
@@ -228,6 +228,7 @@
         spread = self.random.random()
         self.probe_due = now + spread * terms.period
         self.gossip_due: float | None = None
+        self.brief = False  # whether there are facets here that end soon, for which bytes are kept
         self.sync_due = now + spread * terms.sync_gap
         self.reach_due = now + spread * 50.0
         self.tokens, self.filled = terms.burst_bytes, now
@@ -350,11 +351,19 @@
             self._forget(own)
             if (other := self._any_living()) is not None:
                 self._compare_with(other)
+        self._gossip(own)
+
+    def _gossip(self, own: float) -> None:
+        """A round of news, if it is time for one, and the time of the next."""
         if self.gossip_due is not None and own >= self.gossip_due:
             self.gossip_due = None
             for member in self._some_living(self.terms.fanout):
                 # A round for facets alone waits until there are bytes for what it is to carry.
                 floor = -self.terms.burst_bytes / 4 if self.news else float(DATAGRAM)
+                if self.facet_news and not self.news:
+                    first = self._facet_of(*next(iter(self.facet_news)))
+                    brief = first is not None and first.word.end <= self.terms.brief_end
+                    floor = -self.terms.burst_bytes / 8 if brief else floor
                 if (self.news or self.facet_news) and self._afford(OVERHEAD, floor):
                     self._send(Kind.NEWS, member, room=DATAGRAM)
         if (self.news or self.facet_news) and self.gossip_due is None and self.members:
@@ -549,9 +558,9 @@
             echo, kept = member.stamp, int(self.now - member.stamp_at)
         words = words or []
         facets = facets or []
-        if news:
+        if news and (self.news or self.facet_news):
             left = room - FRAME - size(self.me) - sum(size(word) for word in words) - len(target)
-            self._fill(words, facets, left, life)
+            self._fill(words, facets, left)
         datagram = Datagram(
             kind, self.me, life, int(self.now), echo, max(0, kept), probe, target, words, facets,
             digest or [], buckets or [], held or [],
@@ -568,7 +577,7 @@
         self.tokens -= cost
         return True
 
-    def _fill(self, words: list[MemberWord], facets: list[FacetWord], room: int, life: int) -> None:
+    def _fill(self, words: list[MemberWord], facets: list[FacetWord], room: int) -> None:
         """Add news that fits whole, that told least first; members before facets."""
         rounds = self.terms.rounds(len(self.members) + 1)
         for _ in range(len(self.news)):
@@ -591,13 +600,21 @@
         for _ in range(len(self.facet_news)):
             key, told = next(iter(self.facet_news.items()))
             facet = self._facet_of(*key)
-            if facet is None or told >= rounds or not facet.counts(self.now):
+            brief = facet is not None and facet.word.end <= self.terms.brief_end
+            most = min(rounds, self.terms.brief_rounds) if brief else rounds
+            if facet is None or told >= most or not facet.counts(self.now):
                 del self.facet_news[key]
                 continue
             aged = self._aged(facet)
             cost = size(aged)
-            if cost > room or not self._afford(cost):
-                return
+            # What soon counts no more draws lower: it would come too late behind a backlog of the rest.
+            self.brief |= brief
+            rest = self.terms.burst_bytes / 2 if self.brief else 0.0
+            if cost > room or not self._afford(cost, -self.terms.burst_bytes / 8 if brief else rest):
+                if brief or not self.brief:
+                    return
+                self.facet_news.move_to_end(key)
+                continue
             room -= cost
             facets.append(aged)
             self.facet_news[key] = told + 1
@@ -659,7 +676,8 @@
         member = self.members.get(word.name)
         if member is None:
             return  # no room for it, or it says itself that it is gone
-        current = member.word.life == word.life and member.word.generation == word.generation
+        mine = member.word
+        current = mine.life == word.life and mine.generation == word.generation
         if current:
             member.heard = self.own
             member.stamp, member.stamp_at, member.stamp_life = said.stamp, self.now, word.life
--- a/martentide/fleet/duty.py
+++ b/martentide/fleet/duty.py
@@ -30,6 +30,7 @@
 DOUBTS_END, FINDINGS_END = 6_000, 5_000  # ms a facet counts
 DOUBTS_REFRESH = 2_000.0
 FINDINGS_GAP = 400.0  # ms between two publications
+TELLER_GAP = 60.0  # ms more between them for each member that tells, where the own ones are no duty
 TELLERS = 3  # members that tell of one doubt: more would add up with the fleet
 QUICK = 100.0  # ms of wait up to which a call counts as served at once
 RECENT = 1_000.0  # ms: a bad word of another as new as this makes an own one no news
@@ -181,6 +182,7 @@
         doubts = list(doubts)
         watched = {*mine, *(server for one in doubts for server in one)}
         self._forget(now, watched)
+        findings = list(findings)
         heard = self._freshest(now, watched, findings)
         words = dict(heard)
         for key, known in self.own.items():
@@ -212,7 +214,9 @@
             self.last_duty = duty
             events.append(duty)
         self.watched = frozenset(watched)
-        return Outlook(tuple(tests), tuple(events), (*self._doubts(now, tell), *self._findings(now, publish)))
+        holds = any(self._place(server, living) < HOLDERS for server in watched)
+        word = self._findings(now, publish, len(findings), holds)
+        return Outlook(tuple(tests), tuple(events), (*self._doubts(now, tell), *word))
 
     def _due(self, server: str, now: float) -> bool:
         return now - self.tested.get(server, -1e9) >= TEST_GAP
@@ -280,8 +284,11 @@
         self.last_doubts, self.doubts_at = mine, now
         return [(DOUBTS, DOUBTS_END, _ENCODER.encode(Doubts(mine)))]
 
-    def _findings(self, now: float, publish: list[Finding]) -> list[tuple[int, int, bytes]]:
-        if now - self.findings_at < FINDINGS_GAP:
+    def _findings(
+        self, now: float, publish: list[Finding], tellers: int, holds: bool
+    ) -> list[tuple[int, int, bytes]]:
+        # Where many find something out at once, those with no duty tell of it the less often.
+        if now - self.findings_at < (FINDINGS_GAP if holds else max(FINDINGS_GAP, TELLER_GAP * tellers)):
             return []
         new = [one for one in publish if now - one.ago > self.findings_at]
         if not new:
--- a/martentide/fleet/terms.py
+++ b/martentide/fleet/terms.py
@@ -21,6 +21,8 @@
     gossip_gap: float = 100.0  # between two rounds of news, while there is any
     fanout: int = 3  # members a round goes to
     transmissions: float = 1.5  # times log2 of the fleet's size that a piece of news is sent
+    brief_end: float = 4_000.0  # ms: a facet that ends by then is told ``brief_rounds`` times by each member:
+    brief_rounds: int = 2  # the next word comes sooner than a repetition would help
     sync_gap: float = 1_000.0  # between two comparisons with one other member
     reach_gap: float = 1_000.0  # between two tries at one that is dead, past, or a seed not heard of
     kept_dead: float = 120_000.0  # a dead or departed member is remembered, so that old word can't raise it
--- a/martentide/fleet/wire.py
+++ b/martentide/fleet/wire.py
@@ -170,12 +170,15 @@
 
 def sound(said: Datagram) -> bool:
     """Whether all figures are such as a member could have said: a liar may not fill tables with the rest."""
-    return (
-        all(_sound_member(word) for word in (said.sender, *said.members))
-        and all(_sound_facet(word) for word in said.facets)
-        and all(1 <= len(one.name) <= 64 and len(one.facets) <= 64 for one in said.held)
-        and said.kept >= 0
-    )
+    if said.kept < 0 or not _sound_member(said.sender):
+        return False
+    for word in said.members:
+        if not _sound_member(word):
+            return False
+    for facet in said.facets:
+        if not _sound_facet(facet):
+            return False
+    return all(1 <= len(one.name) <= 64 and len(one.facets) <= 64 for one in said.held)
 
 
 def _sound_member(word: MemberWord) -> bool:
--- a/martentide/interface.py
+++ b/martentide/interface.py
@@ -244,6 +244,38 @@
     wait: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class PeerPressure:
+    """``age`` ms ago a server asked another member to hold ``hold_back`` (0 to 1) of new set-ups back."""
+
+    server: str
+    age: float
+    hold_back: float
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """What the whole fleet lets in from now on: by class the share (0 to 1), at the cut settled by the number
+    called and ``turn``; ``admitted`` (over 0) of all together; nothing that is worth less than ``floor`` by
+    now. Who is shed is told to come back in ``return_from`` to ``return_to`` ms (>= 0)."""
+
+    shares: tuple[tuple[str, float], ...]
+    admitted: float
+    floor: float
+    turn: int
+    return_from: float
+    return_to: float
+
+
+@dataclass(frozen=True, slots=True)
+class RepeatBudget:
+    """Further attempts cost a token each from now on: so many more (>= 0) may be made, and what is left of
+    all counts for nothing ``life`` ms (> 0) from now."""
+
+    tokens: float
+    life: float
+
+
 @dataclass(frozen=True, slots=True)
 class TimerDue:
     """A timer set by SetTimer came due."""
@@ -263,6 +295,9 @@
     | ColdShare
     | TestDuty
     | PeerNews
+    | PeerPressure
+    | Admission
+    | RepeatBudget
     | TimerDue
 )
 
--- a/martentide/net/decider.py
+++ b/martentide/net/decider.py
@@ -18,6 +18,7 @@
 from martentide.codec.board import Listed, Notice
 from martentide.interface import (
     Action,
+    Admission,
     AttemptEnded,
     CallerGone,
     CancelAttempt,
@@ -28,9 +29,11 @@
     ListKind,
     Note,
     PeerNews,
+    PeerPressure,
     Probe,
     ProbeEnded,
     Refuse,
+    RepeatBudget,
     SendSetUp,
     ServerList,
     ServerState,
@@ -147,6 +150,9 @@
     | ColdShare
     | TestDuty
     | PeerNews
+    | PeerPressure
+    | Admission
+    | RepeatBudget
 )
 
 
--- a/martentide/net/fleet/member.py
+++ b/martentide/net/fleet/member.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import math
 import secrets
 from collections import Counter
 from dataclasses import dataclass
@@ -32,9 +33,11 @@
 )
 from martentide.fleet.duty import SCHEMA, Duty, look
 from martentide.fleet.wire import Frame, State, Unreadable
-from martentide.interface import AttemptEnded, Event, ProbeEnded, Stands
+from martentide.interface import AttemptEnded, Event, ProbeEnded, RepeatBudget, Settings, Stands
 from martentide.net.decider import Decider, Probing
 from martentide.net.endings import LOG, log_event
+from martentide.overload import core as overload
+from martentide.overload.level import Phase
 
 if TYPE_CHECKING:
     from martentide.extras import Fleet as FleetPart
@@ -43,6 +46,7 @@
 AT_A_TIME = 32  # items taken before the rest of the program has its turn
 LOOK = 250.0  # ms between two looks at the duty of testing
 OPEN_TRIES, OPEN_GAP = 60, 0.05  # and s between two tries to open the endpoint
+LAST_REPEATS, LAST_LIFE = 3.0, 10_000.0  # further attempts, and ms, of one that has left the fleet
 QUIET = 1.0  # s between two lines about datagrams that were passed over
 
 
@@ -88,12 +92,15 @@
         self.said_at = 0.0
         self.frame = Frame(part.name, part.secret)
         self.duty = Duty(name, part.zone)
+        self.overload: overload.Overload | None = None
+        self.settings: Settings | None = None  # those that the overload part knows
+        self.phase = Phase.NORMAL  # as of the last line about it
         self.core: Core | None = None
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.looking: asyncio.TimerHandle | None = None
         self.lives = 0
-        self.displaced = self.wanted = False
+        self.wanted = False
         decider.heard.append(self._overhear)
 
     # ---- life -------------------------------------------------------------------------------------------
@@ -136,7 +143,12 @@
             self._now(),
             secrets.randbits(62) + 1,
         )
-        self.displaced = False
+        if self.part.overload:
+            self.settings = self.decider.controller.settings
+            self.phase = Phase.NORMAL
+            self.overload = overload.Overload(
+                self.name, self.core.me.life, *self._overload_terms(self.settings), seed=seed
+            )
         log_event(
             "fleet-joining", fleet=self.part.name, address=f"{own[0]}:{own[1]}",
             advertise=f"{address[0]}:{address[1]}", life=self.core.me.life, zone=self.part.zone,
@@ -154,6 +166,9 @@
             self.transport.close()
         if self.core is not None:
             log_event("fleet-retired")
+        if self.overload is not None:
+            self.decider.post(RepeatBudget(LAST_REPEATS, LAST_LIFE))
+            self.overload = None
         self.core = self.transport = self.timer = self.looking = None
 
     def depart(self) -> None:
@@ -201,11 +216,15 @@
 
     def _arm(self) -> None:
         assert self.core is not None
+        due = self.core.due / 1000.0
         if self.timer is not None:
+            if self.timer.when() == due:
+                return  # most datagrams leave it as it is
             self.timer.cancel()
-        self.timer = self.loop.call_at(self.core.due / 1000.0, self._post_tick)
+        self.timer = self.loop.call_at(due, self._post_tick)
 
     def _post_tick(self) -> None:
+        self.timer = None
         self.post(Tick())
         if self.core is not None and self.mailbox.full():
             self.timer = self.loop.call_later(0.05, self._post_tick)
@@ -268,7 +287,6 @@
             case Learned():
                 self.counts["facets"] += 1
             case Displaced(by):
-                self.displaced = True
                 LOG.error(
                     "fleet-displaced", member=by.name, address=f"{by.host}:{by.port}", life=by.life,
                     detail=repr("another process bears this name by a newer right; this one acts alone"),
@@ -280,7 +298,9 @@
     # ---- duty of testing --------------------------------------------------------------------------------
 
     def _overhear(self, at: float, event: Event) -> None:
-        """Runs in the decider's turn: only posts, and only of servers that somebody doubts."""
+        """Runs in the decider's turn: only counts, and posts only of servers that somebody doubts."""
+        if self.overload is not None:
+            self.overload.observe(self._now(), event)
         if isinstance(event, (ProbeEnded, Stands, AttemptEnded)) and (
             event.server in self.duty.watched and self.core is not None
         ):
@@ -300,6 +320,34 @@
         for name in outlook.tests:
             if (actor := self.decider.servers.get(name)) is not None:
                 actor.post(Probing())
+        if self.overload is not None:
+            self._handle_overload(core, self.overload, now)
+
+    def _overload_terms(self, settings: Settings) -> tuple[dict[str, float], float, float]:
+        worths = {kind.name: kind.worth for kind in settings.classes}
+        return worths, settings.max_hold_off, self.decider.controller.tolerable
+
+    def _handle_overload(self, core: Core, part: overload.Overload, now: float) -> None:
+        controller = self.decider.controller
+        if controller.settings is not self.settings:
+            self.settings = controller.settings
+            part.settle(*self._overload_terms(self.settings))
+        limited = self.decider.now < controller.repeats_until < math.inf
+        purse = controller.repeats if limited else 0.0
+        outcome, bad = overload.look(core, part, now, controller.servers, purse)
+        if bad:
+            self._passed_over("malformed")
+        for one in outcome.events:
+            self.decider.post(one)
+        if outcome.word is not None and not core.silent:
+            self._feed(Publish(overload.LOAD, overload.SCHEMA, overload.END, outcome.word))
+        if part.level.phase is not self.phase:
+            self.phase = part.level.phase
+            log_event(
+                "fleet-overload", phase=self.phase.name.lower(), admitted=round(part.level.admitted, 3),
+                pressure=round(part.level.pressure, 3), storms=part.level.storms,
+                alone=part.alone(now),
+            )  # fmt: skip
 
     # ---- what people see --------------------------------------------------------------------------------
 
@@ -327,6 +375,7 @@
             {"fleet": self.part.name, "name": self.name, "zone": self.part.zone, "state": state,
              "generation": core.me.generation, "incarnation": core.me.incarnation, "health": core.health,
              "counts": dict(self.counts + core.counts),
+             "overload": None if self.overload is None else self.overload.status(now),
              "members": sorted(members, key=lambda m: str(m["name"])),
              "tests_left_to_others": sorted(self.duty.last_duty.no_tests),
              "trials_left_to_others": sorted(self.duty.last_duty.no_trials)}
--- /dev/null
+++ b/martentide/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Overload handled by the fleet as one: pure, like ``martentide/fleet/`` on whose facets it rests."""
--- a/martentide/rules.py
+++ b/martentide/rules.py
@@ -15,11 +15,12 @@
 from dataclasses import dataclass, field
 
 from martentide.interface import (
-    Action, AttemptEnded, CallClass, CallerGone, CancelAttempt, ColdShare, Ending, Event, Fail, FollowList,
-    ListKind, PeerMessage, PeerNews, Probe, ProbeEnded, Refuse, Repeat, Report, ReportBy, SendSetUp,
-    ServerEntry, ServerList, ServerState, SetTimer, Settings, SettingsChanged, SetUpOffered, Stands, TellPeer,
-    TestDuty, TimerDue,
+    Action, Admission, AttemptEnded, CallClass, CallerGone, CancelAttempt, ColdShare, Ending, Event, Fail,
+    FollowList, ListKind, PeerMessage, PeerNews, PeerPressure, Probe, ProbeEnded, Refuse, Repeat,
+    RepeatBudget, Report, ReportBy, SendSetUp, ServerEntry, ServerList, ServerState, SetTimer, Settings,
+    SettingsChanged, SetUpOffered, Stands, TellPeer, TestDuty, TimerDue,
 )  # fmt: skip
+from martentide.overload.cut import draw
 
 # ---- fleet ----------------------------------------------------------------------------------------------
 FEW = 12.0  # proxies that may each have every least allowance in full; more share what these would have
@@ -88,9 +89,7 @@
 
 # ---- peers ----------------------------------------------------------------------------------------------
 PEER_GAP = 1000.0  # ms between two rounds of messages
-PEERS_TOLD = (
-    6  # peers, drawn at random, that a round goes to: the cost of a proxy does not grow with the fleet
-)
+PEERS_TOLD = 6  # peers, drawn at random, that a round goes to: a proxy's cost does not grow with the fleet
 NEWS_STEP = 10.0  # ms: unit of waits and ages in a message
 NEWS_BYTES = 3  # place, age and wait of one server
 OLD_NEWS = 2000.0  # ms after which a wait is told and believed no more
@@ -206,6 +205,8 @@
         self.calls: dict[int, Call] = {}
         self.fresh: dict[tuple[int, int], float] = {}
         self.duty = TestDuty(frozenset(), frozenset())  # none but the own one, without a fleet
+        self.admission: Admission | None = None
+        self.repeats, self.repeats_until = math.inf, math.inf  # further attempts that may be made
         self.pace = 0.0
         self.started: float | None = None
         self.actions: list[Action] = []
@@ -247,8 +248,8 @@
                 self.calls.pop(event.ref, None)
             case ProbeEnded():
                 self._probed(now, event)
-            case PeerMessage() | TestDuty() | PeerNews():
-                self._hear_peer(now, event)
+            case PeerMessage() | TestDuty() | PeerNews() | PeerPressure() | Admission() | RepeatBudget():
+                self._hear_fleet(now, event)
             case SettingsChanged(settings):
                 self._settle(settings)
                 self.peer_rates.clear()  # their order is that of the tenants told of before
@@ -312,7 +313,21 @@
             deadline=now + event.time_left,
             hold_until=min(now + event.time_left - ANSWER_MARGIN, began + kind.aim - self._hold_leaves(kind)),
         )
-        self._try(call, now)
+        if self.admission is not None and self._sheds(self.admission, call, now):
+            back = (self.admission.return_from, self.admission.return_to)
+            self._answer(call, now, self.random.uniform(*back))
+        else:
+            self._try(call, now)
+
+    def _sheds(self, admission: Admission, call: Call, now: float) -> bool:
+        """Whether the fleet sheds the call, at the cut by its number; a late one goes by what it is worth."""
+        share = dict(admission.shares).get(call.kind.name, 1.0)
+        if call.in_transit or self._value(call, now) < admission.floor:
+            return not call.in_transit
+        return share < 1.0 and draw(call.number or str(self.random.random()), admission.turn) >= share
+
+    def _repeats_left(self, now: float) -> float:
+        return self.repeats if now < self.repeats_until else 0.0  # without a budget: as many as wanted
 
     def _hold_leaves(self, kind: CallClass) -> float:
         return min(HOLD_LEAVES, HOLD_LEAVES_OF_AIM * kind.aim)
@@ -401,6 +416,7 @@
             call.not_before = now + call.rules.release
         room = call.attempts < call.rules.max_attempts and len(call.erred) < MOST_ERRORS
         again = room and (call.kind.repeat is Repeat.HARMLESS or not call.may_have_run)
+        again = again and self._repeats_left(now) >= 1.0
         last = call.deadline - ANSWER_MARGIN
         if not again or max(now, call.not_before) >= last:
             self._answer(call, now)
@@ -426,7 +442,7 @@
             server.lag, server.lag_at = max(event.lag, server.remembered_lag(now)), now
             self._pressure(now, server, None, event.lag)
 
-    def _answer(self, call: Call, now: float) -> None:
+    def _answer(self, call: Call, now: float, hold_off: float = 0.0) -> None:
         """The final answer of a call that is not sent again."""
         self.calls.pop(call.ref, None)
         if call.number is not None:
@@ -435,7 +451,7 @@
             self.actions.append(Fail(call.ref))
             return
         late = now > call.began + call.kind.aim
-        self.actions.append(Refuse(call.ref, call.rules.max_hold_off if late else 0.0))
+        self.actions.append(Refuse(call.ref, call.rules.max_hold_off if late else hold_off))
 
     def _value(self, call: Call, now: float) -> float:
         """Expected worth of setting the call up now."""
@@ -499,6 +515,7 @@
         call.out = server
         server.out[(call.ref, call.attempts)] = now
         call.attempts += 1
+        self.repeats -= call.attempts > 1
         call.tried.add(server.entry.name)
         self.actions.append(SendSetUp(call.ref, server.entry.name, self._patience(call, server, now)))
 
@@ -580,7 +597,7 @@
         lesser = 1.0 - self._value(call, now) / self.top_worth
         if server.free_lines is not None and server.free_lines < 1.0 + RESERVED_LINES * lesser:
             return False
-        need = 1.0 + RESERVED * lesser
+        need = 1.0 + RESERVED * lesser * (self.admission is None)  # the fleet's cut went by classes
         if (cold is not None and cold < 1.0) or (image is not None and image.room(now) < need):
             return False
         if cold is not None:
@@ -614,6 +631,8 @@
             if wait >= server.remembered_wait(now):
                 server.wait, server.wait_at = wait, now
             share = max(share, self._level(wait))
+        if self.admission is not None:  # the fleet holds back so much before it comes here
+            share = max(0.0, 1.0 - (1.0 - share) / self.admission.admitted)
         image = server.image if server.image is not None and now < server.image.expires else None
         if image is not None:
             ease = QUICK_EASE if wait is not None and share == 0.0 else 1.0
@@ -658,10 +677,8 @@
             server.trial_gap = TRIAL_GAP * self.trial_scale
             server.probe_due = server.failed_at = now
         spread = self.random.random() * TRIAL_SPREAD * self.trial_scale
-        server.trial_due, server.trial_turn = (
-            now + server.trial_gap + spread,
-            spread * (1.0 / self.part - 1.0),
-        )
+        server.trial_due = now + server.trial_gap + spread
+        server.trial_turn = spread * (1.0 / self.part - 1.0)
         server.trial_gap = min(LONGEST_TRIAL_GAP * self.trial_scale, server.trial_gap * 2.0)
 
     # ---- cold servers -----------------------------------------------------------------------------------
@@ -677,12 +694,8 @@
             return None
         linear = rules.cold_share + (1.0 - rules.cold_share) * max(0.0, age) / rules.cold_time
         share = min(linear, COLD_USE * rules.fall_multiple * rules.cold_share)
-        rate = (
-            max(self.pace * server.entry.size, BOUND_FLOOR * self.part)
-            * share
-            * server.cold_trust
-            * self.own_share
-        )
+        pace = max(self.pace * server.entry.size, BOUND_FLOOR * self.part)
+        rate = pace * share * server.cold_trust * self.own_share
         filled = server.cold_tokens + rate * (now - server.cold_filled) / 1000.0
         server.cold_tokens, server.cold_filled = min(COLD_DEPTH, filled), now
         return server.cold_tokens
@@ -709,7 +722,6 @@
             self._tell_peers(now)
         if self.settings.may_probe:
             for server in self.servers.values():
-                # Once something came back a caller's trial tells more, and tests of a whole fleet add up.
                 useful = server.suspect and server.heard_at < server.failed_at
                 useful = useful or self.settings.report_by is ReportBy.PROBES
                 useful = useful and server.entry.name not in self.duty.no_tests
@@ -760,15 +772,27 @@
             told = self.random.sample(others, min(PEERS_TOLD, len(others)))
             self.actions.extend(TellPeer(peer, body[:256]) for peer in told)
 
-    def _hear_peer(self, now: float, event: PeerMessage | TestDuty | PeerNews) -> None:
+    def _hear_fleet(self, now: float, event: Event) -> None:
+        match event:
+            case PeerMessage():
+                self._hear_peer(now, event)
+            case TestDuty():
+                self.duty = event
+            case PeerNews(name, age, wait) if name in self.servers:
+                self._news(now, self.servers[name], now - age, wait)
+            case PeerPressure(name, age, hold_back) if name in self.servers:
+                faded, image = hold_back * 0.5 ** (age / HOLD_BACK_FADE), self.servers[name].image
+                if image is not None:
+                    image.hold_back = min(image.hold_back, faded)  # it is newer than what made the image
+                self._pressure(now, self.servers[name], faded, None)
+            case Admission():
+                self.admission = event
+            case RepeatBudget(tokens, life):
+                left = self._repeats_left(now) if self.repeats_until < math.inf else 0.0
+                self.repeats, self.repeats_until = left + tokens, now + life
+
+    def _hear_peer(self, now: float, event: PeerMessage) -> None:
         """A peer's rates and news; a message of another form is passed over."""
-        if isinstance(event, TestDuty):
-            self.duty = event
-            return
-        if isinstance(event, PeerNews):
-            if (known := self.servers.get(event.server)) is not None:
-                self._news(now, known, now - event.age, event.wait)
-            return
         split = 2 * len(self.taken)
         body = event.body
         news_length = len(body) - split
--- a/martentide_lab/callers.py
+++ b/martentide_lab/callers.py
@@ -17,6 +17,19 @@
 TIME_LEFT = 2_500.0  # ms
 SLACK = 70.0  # ms an answer may come late: the platform's 20 ms and what sockets take
 KEPT = 20_000  # calls whose books are kept
+BACKOFF = 0.95  # s before the first redial, doubling: the middle of the site's range
+HONOUR = 0.7  # share of callers that keep away as long as a refusal asks
+
+
+@dataclass(slots=True)
+class Story:
+    """A call and its redials, for one worth; times in ms of the loop's clock."""
+
+    kind: str
+    number: bytes
+    began: float
+    tries: int = 0
+    stood_at: float | None = None
 
 
 @dataclass(slots=True)
@@ -27,12 +40,28 @@
     finals: int = 0
     final_at: float = 0.0
     stood: bool = False
+    story: Story | None = None
 
 
 class Load:
-    """``rate`` calls a second over one connection, until stopped or cut off. ``told`` counts the answers."""
-
-    def __init__(self, address: str, classes: Sequence[str], rate: float, seed: int) -> None:
+    """``rate`` calls a second over one connection, until stopped or cut off. ``told`` counts the answers.
+
+    ``redials``: times a caller that was refused or failed dials again; ``shares`` of the classes; ``chance``:
+    first tries come by chance, not evenly."""
+
+    def __init__(
+        self,
+        address: str,
+        classes: Sequence[str],
+        rate: float,
+        seed: int,
+        redials: int = 0,
+        shares: Sequence[float] | None = None,
+        chance: bool = False,
+    ) -> None:
+        self.redials, self.shares, self.chance = redials, shares, chance
+        self.stories: list[Story] = []
+        self.honour = HONOUR
         self.address, self.classes, self.rate = address, classes, rate
         self.dice = random.Random(seed)
         self.told: Counter[str] = Counter()
@@ -51,32 +80,53 @@
         try:
             for number in itertools.count(1):
                 call = (self.dice.getrandbits(32) << 24 | number).to_bytes(8, "big")
-                self._set_up(self.writer, call)
-                await asyncio.sleep(1.0 / self.rate)
+                kind = self.dice.choices(self.classes, self.shares)[0]
+                number_called = f"{self.dice.getrandbits(40):x}".encode()
+                story = Story(kind, number_called, self.loop.time() * 1000.0)
+                if self.redials:
+                    self.stories.append(story)
+                self._set_up(self.writer, call, story)
+                gap = 1.0 / self.rate
+                await asyncio.sleep(self.dice.expovariate(1.0 / gap) if self.chance else gap)
         finally:
             hearing.cancel()
 
-    def _set_up(self, writer: asyncio.StreamWriter, call: bytes) -> None:
+    def _set_up(self, writer: asyncio.StreamWriter, call: bytes, story: Story) -> None:
         if writer.is_closing():
             return
+        story.tries += 1
         parameters: dict[int, bytes] = {
-            Code.CLASS: self.dice.choice(self.classes).encode(),
+            Code.CLASS: story.kind.encode(),
             Code.TIME_LEFT: b"%d" % TIME_LEFT,
-            Code.NUMBER: f"{self.dice.getrandbits(40):x}".encode(),
+            Code.NUMBER: story.number,
             Code.FIGURES: f"dest:{self.dice.randrange(4)};width:1;via:-1".encode(),
             Code.DESCRIPTION: call,
         }
         writer.write(write_message(Type.SET_UP, call, parameters))
-        self.calls[call] = Offered(self.loop.time() * 1000.0)
+        self.calls[call] = Offered(self.loop.time() * 1000.0, story=story)
         if len(self.calls) > KEPT:
             self.calls.popitem(last=False)
 
-    def _final(self, call: bytes, stood: bool) -> None:
+    def _final(self, call: bytes, stood: bool, hold_off: float = 0.0) -> None:
         one = self.calls.get(call)
         if one is None or (one.stood and not stood):  # the release of a call that stood is no answer
             return
         one.finals += 1
         one.final_at, one.stood = self.loop.time() * 1000.0, stood
+        story = one.story
+        if story is None:
+            return
+        if stood:
+            story.stood_at = one.final_at
+        elif story.tries <= self.redials:
+            wait = BACKOFF * 2.0 ** (story.tries - 1) * self.dice.uniform(0.75, 1.25)
+            if self.dice.random() < self.honour:
+                wait = max(wait, hold_off / 1000.0)
+            self.loop.call_later(wait, self._redial, story)
+
+    def _redial(self, story: Story) -> None:
+        if self.writer is not None:
+            self._set_up(self.writer, self.dice.getrandbits(63).to_bytes(8, "big"), story)
 
     def faults(self, now: float) -> list[tuple[str, float]]:
         """Calls with no final answer, a late one, or two; each with when it was offered."""
@@ -104,7 +154,8 @@
                         self.loop.call_later(delay, self._release, writer, message.call)
                     elif message.type == Type.RELEASE:
                         self.told["release"] += 1
-                        self._final(message.call, False)
+                        hold_off = message.parameters.get(Code.HOLD_OFF, b"0")
+                        self._final(message.call, False, float(hold_off))
         except OSError:
             pass
         self.closed_at = self.loop.time() * 1000.0
--- a/martentide_lab/checker.py
+++ b/martentide_lab/checker.py
@@ -25,7 +25,7 @@
     Welcomed,
     Withdrawn,
 )
-from martentide_lab.servers import SessionServer
+from martentide_lab.servers import COLD_TIME, FALL_MULTIPLE, FALL_TIME, SessionServer
 
 DRAIN_GRACE = 2_050.0  # ms, with what sockets take
 RELEASE_WAIT = 200.0  # ms
@@ -113,6 +113,33 @@
         return self.counts
 
 
+def check_repeats(
+    servers: Iterable[SessionServer], first_tries: int, share: float, members: int, each: float
+) -> list[str]:
+    """Further attempts over the whole fleet, by what came to the servers: no more than ``share`` of the
+    callers' first tries, and ``each`` for every process that ever ran."""
+    came: Counter[bytes] = Counter(one.call for server in servers for one in server.arrivals)
+    further = sum(count - 1 for count in came.values())
+    most = share * first_tries + each * members
+    if further > most:
+        return [f"repeats: {further} further attempts, for {first_tries} first tries at most {most:.0f}"]
+    return []
+
+
+def cold_use(server: SessionServer) -> float:
+    """The most that came to a cold server in a window of the fall-over time, over what the rule allows."""
+    begin = server.script.cold_from
+    if begin is None:
+        return 0.0
+    times = sorted(one.at for one in server.arrivals if begin <= one.at <= begin + COLD_TIME)
+    most = 0.0
+    for last, when in enumerate(times):
+        count = sum(when - FALL_TIME < at <= when for at in times[: last + 1])
+        allowed = FALL_MULTIPLE * server.script.capacity(when) * FALL_TIME / 1_000.0
+        most = max(most, count / allowed)
+    return most
+
+
 def check_servers(
     servers: Iterable[SessionServer], drained: dict[str, float]
 ) -> tuple[Counter[str], list[str]]:
--- a/martentide_lab/fleet/invariants.py
+++ b/martentide_lab/fleet/invariants.py
@@ -28,6 +28,7 @@
     healed: float = 8_000.0
     stop: float = 700.0  # a shorter stop must not be taken for a death
     loss: float = 0.25  # share of datagrams lost, beyond which a false accusation is no fault
+    delay: float = 40.0  # ms one way on all links, beyond which probes come too late
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +65,7 @@
         self.views: dict[str, dict[str, tuple[int, int]]] = {name: {} for name in self.names}
         self.cut: dict[tuple[str, str], bool] = {}
         self.cut_until: dict[tuple[str, str], float] = {}
-        self.loss = 0.0
+        self.loss = self.delay = 0.0
         self.loss_until = -1e9
         self.last_fault = 0.0
         self.owed: list[tuple[float, str, str, int, float]] = []  # due, observer, about, life, since
@@ -142,6 +143,10 @@
                 if self.loss > self.limits.loss:
                     self.loss_until = event.at
                 self.loss = arguments[0]
+            case "delay":
+                if self.delay > self.limits.delay:
+                    self.loss_until = event.at
+                self.delay = arguments[0]
 
     def _runs(self, name: str) -> bool:
         one = self.processes.get(name)
@@ -162,7 +167,11 @@
         lately = any(
             at - until <= self.limits.settled for pair, until in self.cut_until.items() if {a, b} & set(pair)
         )
-        lossy = self.loss > self.limits.loss or at - self.loss_until <= self.limits.settled
+        lossy = (
+            self.loss > self.limits.loss
+            or self.delay > self.limits.delay
+            or at - self.loss_until <= self.limits.settled
+        )
         return not (cut_now or lately or lossy)
 
     def _seen(self, event: Event) -> None:
@@ -205,7 +214,12 @@
 
     def finish(self, end: float) -> list[Broken]:
         self._pay(end)
-        if end - self.last_fault < self.limits.healed or self.cut or self.loss > self.limits.loss:
+        if (
+            end - self.last_fault < self.limits.healed
+            or self.cut
+            or self.loss > self.limits.loss
+            or self.delay > self.limits.delay
+        ):
             return self.broken
         up = {
             name
--- a/martentide_lab/fleet/rig.py
+++ b/martentide_lab/fleet/rig.py
@@ -63,7 +63,8 @@
 class Rig:
     """Plays a script: ``async with Rig(script) as rig: await rig.play()``; then ``rig.broken()``.
 
-    ``extra`` is text for each member's fleet node; ``seeds`` how many members are everybody's seeds.
+    ``extra`` is text for each member's fleet node, or by name for some; ``seeds`` how many members are
+    everybody's seeds.
     """
 
     def __init__(
@@ -71,13 +72,16 @@
         script: Script,
         *,
         fleet: bool = True,
-        extra: str = "",
+        extra: str | Mapping[str, str] = "",
         seeds: int = 3,
         base: Link | None = None,
         load: bool = True,
         clocks: Mapping[str, float] | None = None,  # s that members' wall clocks are ahead
         show: Callable[[Rig], None] | None = None,
+        redials: int = 0,  # of a caller that was refused or failed
+        shares: Sequence[float] | None = None,  # of the classes
     ) -> None:
+        self.redials, self.shares = redials, shares
         self.script, self.fleet, self.extra, self.seeds, self.load = script, fleet, extra, seeds, load
         self.show, self.clocks = show, dict(clocks or {})
         for step in script.steps:
@@ -169,9 +173,10 @@
         seeds = " ".join(
             f'"{host}:{port}"' for host, port in map(self.hub.told, self.script.names()[: self.seeds])
         )
+        extra = self.extra if isinstance(self.extra, str) else self.extra.get(name, "")
         return (
             f'fleet {{\n    name "rig"\n    listen "127.0.0.1:0"\n    advertise "{told[0]}:{told[1]}"\n'
-            f'    zone "{self.zone(name)}"\n    seeds {seeds}\n    {self.extra}\n}}\n'
+            f'    zone "{self.zone(name)}"\n    seeds {seeds}\n    {extra}\n}}\n'
         )
 
     async def _start(self, name: str, bears: str | None = None, fleet: str = "rig") -> None:
@@ -201,7 +206,8 @@
         classes = [kind[0] for kind in CLASSES]
         rate = self.script.rate / self.script.proxies
         relay = self.relays[("callers", name)]
-        load = Load(relay.address, classes, rate, self.dice.getrandbits(32))
+        seed = self.dice.getrandbits(32)
+        load = Load(relay.address, classes, rate, seed, self.redials, self.shares, bool(self.redials))
         self.loads[name] = load
         self.all_loads.append((name, load))
         self.tasks[name] = self.loop.create_task(load.run())
@@ -226,6 +232,8 @@
             )  # fmt: skip
         elif "fleet-displaced" in line:
             self.record("displaced", name, name, life=int(said["life"]))
+        elif "fleet-overload" in line:
+            self.record("overload", name, name, phase=said["phase"], admitted=float(said["admitted"]))
         elif "fleet-late" in line:
             self.record("late", name, name, span=float(said["ms"]))
         elif "fleet-passed-over" in line:
@@ -272,14 +280,20 @@
             case "server":
                 await asyncio.gather(*(self._server(name, step.arguments[1]) for name in names))
             case "surge":
-                for name, load in self.loads.items():
-                    load.rate = self.script.rate / self.script.proxies * step.arguments[0]
-                    self.record("surge", name, name, times=step.arguments[0])
+                self._surge(list(self.loads), step.arguments[0])
+            case "surge-at":
+                self._surge(names, step.arguments[1])
             case _:
                 apply_to_network(self.network, step)
                 self.record("fault", "network", step.verb, arguments=step.arguments)
                 self._relays()
 
+    def _surge(self, names: Sequence[str], times: float) -> None:
+        for name in names:
+            if (load := self.loads.get(name)) is not None:
+                load.rate = self.script.rate / self.script.proxies * times
+                self.record("surge", name, name, times=times)
+
     async def start(self, name: str, bears: str | None = None, fleet: str = "rig") -> None:
         """Start a member anew, or one that the script does not name, at a place of its own."""
         if name not in self.proxies:
@@ -409,6 +423,16 @@
             for name in up
         )
 
+    def calm(self) -> bool:
+        """Whether no member that runs sheds, by what each said last."""
+        last: dict[str, str] = {}
+        for event in self.log:
+            if event.kind == "started":
+                last.pop(event.who, None)
+            elif event.kind == "overload":
+                last[event.who] = event.fields["phase"]
+        return all(phase == "normal" for name, phase in last.items() if name in self.proxies)
+
     def known_dead(self, *names: str, by: Sequence[str] | None = None) -> bool:
         """Whether all that run (or those named) hold the names for dead or gone."""
         observers = [one for one in (self.proxies if by is None else by) if one not in names]
--- a/martentide_lab/fleet/story.py
+++ b/martentide_lab/fleet/story.py
@@ -36,6 +36,7 @@
     "feed": ("NAMES",),
     "clock": ("NAMES", "S"),  # the wall clock is so many s ahead now
     "surge": ("SHARE",),  # times the load
+    "surge-at": ("NAMES", "SHARE"),  # at some members only
     "upgrade": ("NAMES",),  # a second process takes over
 }
 SERVER_WORDS = ("hung", "mute", "well", "full", "error", "gone", "back")
--- a/martentide_lab/servers.py
+++ b/martentide_lab/servers.py
@@ -24,6 +24,12 @@
 from martentide.net.links import unix_ms
 
 READY, DRAINING, GONE = 0, 1, 2
+LONGEST_WAIT = 2_500.0  # ms in a processor's line, beyond which a set-up is turned away
+REFUSAL_WORK = 0.2  # of a set-up, that turning one away costs
+COLD_SHARE, COLD_TIME = 0.31, 13_000.0  # of its capacity at a cold start, and ms until it has all
+FALL_MULTIPLE, FALL_TIME = 2.0, 3_000.0  # times its capacity, for so many ms, tips a cold one over
+REFRESH = 300.0  # ms between two refreshes of the report
+UNPRESSED, WHOLLY = 100.0, 500.0  # ms of wait: none is asked to be held back up to it; and all, so much later
 
 
 @dataclass(slots=True)
@@ -48,6 +54,14 @@
     cut: bool = False  # resets set-ups
     mute: bool = False  # answers no set-up
     deaf: bool = False  # answers no test either
+    rate: float = 0.0  # set-ups a second that its processor does, one after the other; 0: as many as come
+    cold_from: float | None = None  # Unix ms of a start from which it warms up
+
+    def capacity(self, now: float) -> float:
+        """Set-ups a second at that time."""
+        if self.cold_from is None:
+            return self.rate
+        return self.rate * min(1.0, COLD_SHARE + (1.0 - COLD_SHARE) * (now - self.cold_from) / COLD_TIME)
 
 
 @dataclass
@@ -63,7 +77,9 @@
     def __post_init__(self) -> None:
         self.server: asyncio.Server | None = None
         self.port = 0
-        self.stalled_until = 0.0
+        self.stalled_until = self.busy_until = self.told_at = 0.0
+        self.told = 0.0  # share to be held back, as of the last refresh
+        self.done: list[float] = []  # when the processor finished a set-up, Unix ms
         self.open: dict[bytes, Arrival] = {}
         self.standing: dict[bytes, asyncio.StreamWriter] = {}
         self.writers: set[asyncio.StreamWriter] = set()
@@ -99,8 +115,25 @@
         self.stalled_until = max(self.stalled_until, unix_ms() + span)
 
     def report(self) -> bytes:
-        free = 500 - len(self.standing)
-        return f"x0:{free};x1:500;eps:{self.script.hold_back:g}".encode("ascii")
+        free, asked, now = 500 - len(self.standing), self.script.hold_back, unix_ms()
+        if self.script.rate:
+            if now - self.told_at >= REFRESH:
+                wait = max(0.0, self.busy_until - now)
+                self.told, self.told_at = min(0.95, max(0.0, (wait - UNPRESSED) / WHOLLY)), now
+            asked = max(asked, self.told)
+        return f"x0:{free};x1:500;eps:{asked:g}".encode("ascii")
+
+    def _line_up(self) -> float | None:
+        """Takes a place in the processor's line: ms until the set-up is done; None: the line is too long."""
+        now = unix_ms()
+        work = 1_000.0 / self.script.capacity(now)
+        begin = max(now, self.busy_until)
+        if begin - now > LONGEST_WAIT:
+            self.busy_until = begin + REFUSAL_WORK * work
+            return None
+        self.busy_until = begin + work
+        self.done.append(self.busy_until)
+        return self.busy_until - now
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
@@ -144,19 +177,23 @@
         script = self.script
         if script.mute:
             return
-        await asyncio.sleep(script.delay / 1000.0)
+        delay: float | None = script.delay
+        if script.rate:
+            delay = self._line_up()
+        refuse = script.refuse or delay is None
+        await asyncio.sleep((delay or script.delay) / 1000.0)
         while (left := self.stalled_until - unix_ms()) > 0:
             await asyncio.sleep(left / 1000.0)
         if self.open.get(message.call) is not arrival:
             return  # given up meanwhile
         del self.open[message.call]
         arrival.over = unix_ms()
-        if script.refuse or script.error or script.cut:
+        if refuse or script.error or script.cut:
             cause = Cause.NO_CIRCUIT if script.refuse else Cause.RESOURCE_UNAVAILABLE
             if script.cut:
                 cause = Cause.TEMPORARY_FAILURE
             parameters: dict[int, bytes] = {Code.CAUSE: bytes((cause,)), Code.REPORT: self.report()}
-            if script.refuse:
+            if refuse:
                 parameters[Code.NOTE] = b"cpu_full"
             writer.write(write_message(Type.RELEASE, message.call, parameters))
             return
--- a/martentide_lab/sim.py
+++ b/martentide_lab/sim.py
@@ -3,13 +3,14 @@
 A server is one processor with one line: a set-up waits for those before it, is turned away past a longest
 wait, and is worked on even if it was given up. It reports the share to be held back, refreshed now and then.
 A cold one begins at a share of its capacity. Callers dial again, up to three times, as one story for its
-worth.
+worth, after waits that double.
 """
 
 from __future__ import annotations
 
 import heapq
 import itertools
+import math
 import random
 from collections import Counter, deque
 from collections.abc import Callable
@@ -38,6 +39,7 @@
     Stands,
     TimerDue,
 )
+from martentide.overload import core as overload
 from martentide.rules import Controller
 from martentide_lab.fleet.simulated import SimulatedFleet
 
@@ -46,6 +48,9 @@
 REFUSAL_WORK = 0.2  # of a set-up
 REFRESH = 300.0  # ms between two refreshes of a server's report
 REDIALS = 3
+BACKOFF = 950.0  # ms before the first redial, doubling; the site's range is 470 to 1,500
+AWAY = 0.1  # of redials that come to another proxy than the caller's own
+HONOUR = 0.7  # share of callers that keep away as long as a refusal asks
 PROBE_LIMIT = 1_000.0  # ms after which a test counts as unanswered
 LOOK = 250.0  # ms between two looks at the duty of testing
 
@@ -91,6 +96,7 @@
     kind: int
     number: str
     began: float
+    home: int  # the proxy it dials at
     tries: int = 0
     stood_at: float | None = None
 
@@ -106,6 +112,7 @@
         self.order = itertools.count()
         self.refs = itertools.count(1)
         self.stories: list[Story] = []
+        self.backoff, self.honour = BACKOFF, HONOUR
         self.open: dict[int, tuple[int, Story, float]] = {}  # proxy, story, deadline
         self.out: dict[tuple[int, int], tuple[int, str, float]] = {}
         self.attempts: Counter[int] = Counter()
@@ -113,6 +120,7 @@
         self.lives = [0] * proxies
         self.fleet: SimulatedFleet | None = None
         self.duties: list[Duty] = []
+        self.overloads: list[overload.Overload] = []
         self.controllers = [self.fresh(at) for at in range(proxies)]
 
     def at(self, when: float, what: Callable[[], None]) -> None:
@@ -128,12 +136,27 @@
 
     # ---- the fleet ----------------------------------------------------------------------------------------
 
-    def join(self, fleet: SimulatedFleet) -> None:
-        """The proxies are members, ``n0`` and on, from now on; the fleet's clock is this one."""
+    def join(self, fleet: SimulatedFleet, sheds: bool = False) -> None:
+        """The proxies are members, ``n0`` and on, from now on; the fleet's clock is this one. ``sheds``: they
+        handle overload together."""
         self.fleet = fleet
         fleet.now = self.now
         fleet.acquaint()
         self.duties = [Duty(node.name, node.zone) for node in fleet.nodes.values()]
+        if sheds:
+            worths = {kind.name: kind.worth for kind in self.settings.classes}
+            self.overloads = [
+                overload.Overload(
+                    node.name,
+                    node.core.me.life,
+                    worths,
+                    self.settings.max_hold_off,
+                    self.controllers[at].tolerable,
+                    self.seed + at,
+                )
+                for at, node in enumerate(fleet.nodes.values())
+                if node.core is not None
+            ]
         for at in range(len(self.controllers)):
             self.at(self.now + self.dice.uniform(0.0, LOOK), lambda at=at: self._look(at))  # type: ignore[misc]
 
@@ -151,6 +174,21 @@
             self.feed(at, event)
         for server in outlook.tests:
             self._probe(at, server)
+        if self.overloads:
+            self._shed(at, now)
+
+    def _shed(self, at: int, now: float) -> None:
+        """The member's own clock differs from the decisions' here, as it may in service."""
+        assert self.fleet is not None
+        node, part, controller = self.fleet.nodes[f"n{at}"], self.overloads[at], self.controllers[at]
+        assert node.core is not None
+        purse = controller.repeats if self.now < controller.repeats_until < math.inf else 0.0
+        outcome, bad = overload.look(node.core, part, now, controller.servers, purse)
+        assert not bad, "a word that could not be read"
+        for event in outcome.events:
+            self.feed(at, event)
+        if outcome.word is not None:
+            self.fleet.publish(node.name, overload.LOAD, outcome.word, overload.END)
 
     # ---- proxies ------------------------------------------------------------------------------------------
 
@@ -190,6 +228,8 @@
     def feed(self, at: int, event: Event) -> None:
         controller = self.controllers[at]
         self._acted(at, controller.handle(self.now, event))
+        if self.overloads:
+            self.overloads[at].observe(self.fleet.nodes[f"n{at}"].clock(self.now), event)  # type: ignore[union-attr]
         told = isinstance(event, (ProbeEnded, Stands, AttemptEnded))
         if self.fleet is not None and told and event.server in self.duties[at].watched:  # type: ignore[union-attr]
             self.duties[at].observe(self.fleet.nodes[f"n{at}"].clock(self.now), event)
@@ -293,7 +333,8 @@
         when = self.now
         while (when := when + self.dice.expovariate(rate / 1000.0)) < until:
             kind = self.dice.choices(range(len(shares)), shares)[0]
-            story = Story(kind, f"{self.dice.getrandbits(48):x}", when)
+            home = self.dice.randrange(len(self.controllers))
+            story = Story(kind, f"{self.dice.getrandbits(48):x}", when, home)
             self.stories.append(story)
             self.at(when, lambda s=story: self._dial(s))  # type: ignore[misc]
 
@@ -301,7 +342,9 @@
         kind = self.settings.classes[story.kind]
         story.tries += 1
         ref = next(self.refs)
-        at = self.dice.randrange(len(self.controllers))
+        at = story.home
+        if story.tries > 1 and self.dice.random() < AWAY:
+            at = self.dice.randrange(len(self.controllers))
         left = kind.deadline * self.dice.uniform(0.3, 0.4)
         choice = self.dice.choice([server.place for server in self.servers.values()])
         self.open[ref] = (at, story, self.now + left)
@@ -309,7 +352,10 @@
 
     def _redial(self, story: Story, hold_off: float) -> None:
         if story.tries <= REDIALS:
-            self.at(self.now + max(hold_off, self.dice.uniform(200.0, 600.0)), lambda: self._dial(story))
+            wait = self.backoff * 2.0 ** (story.tries - 1) * self.dice.uniform(0.75, 1.25)
+            if self.dice.random() < self.honour:
+                wait = max(wait, hold_off)
+            self.at(self.now + wait, lambda: self._dial(story))
 
     # ---- what came of it ----------------------------------------------------------------------------------
 
--- a/tests/net/test_rules_on_sockets.py
+++ b/tests/net/test_rules_on_sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import time
 from pathlib import Path
 
@@ -179,6 +180,25 @@
         assert (released := caller.receive()).call == A and released.cause() == 16
 
 
+def test_a_quiet_server_is_tested_late_and_at_first_on_one_link(tmp_path: Path) -> None:
+    """Guards against tests that are few from one proxy and thousands from two hundred."""
+    with Program(tmp_path) as program:
+        caller, first = program.caller(), program.servers[0].accept()
+        stand(caller, first)
+        caller.set_up(B)
+        first.receive(Type.SET_UP)  # and no word: another link is opened beside
+        second = program.servers[0].accept()
+        second.send(Type.GROUP_STATE, bytes(8))
+        first.send(Type.ANSWER, B, {Code.DESCRIPTION: b"x"})
+        assert caller.receive().type == Type.ANSWER
+        began = time.monotonic()
+        links = [first.sock, second.sock]
+        assert select.select(links, [], [], 10.0)[0]
+        assert time.monotonic() - began > 3.0
+        time.sleep(0.1)
+        assert len(select.select(links, [], [], 0.0)[0]) == 1
+
+
 def test_another_link_is_opened_while_a_set_up_still_waits_on_a_silent_one(tmp_path: Path) -> None:
     """Guards against sending into a dead link until the first set-up's whole time is over."""
     with Program(tmp_path) as program:
@@ -399,4 +419,4 @@
         began = time.monotonic()
         program.servers[0].accept().release(A, 16)
         assert caller.receive(Type.RELEASE).call == A
-        assert time.monotonic() - began < 1.0  # the rule's second; silence would be looked into after 1.5 s
+        assert time.monotonic() - began < 1.0  # the rule's second; silence would be looked into after 3.5 s
--- /dev/null
+++ b/tests/overload/test_decisions.py
@@ -0,0 +1,124 @@
+"""What the decisions make of the fleet's word, and that without it they are as before."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from martentide.interface import (
+    Admission,
+    Ending,
+    Fail,
+    PeerPressure,
+    Refuse,
+    RepeatBudget,
+    SendSetUp,
+)
+from martentide.overload.cut import draw
+from tests.support import SETTINGS, Bench, finals, sends
+
+CUT = Admission((("plain", 0.5), ("urgent", 1.0)), 0.6, 1.0, 3, 1_200.0, 2_000.0)
+
+
+def bench_of(proxies: int = 6, servers: int = 4) -> Bench:
+    return Bench(settings=replace(SETTINGS, proxies=proxies, release=0.0), servers=servers)
+
+
+def test_the_cut_is_by_the_number_alike_at_all_proxies_and_names_a_time_to_return() -> None:
+    one, other = bench_of(), Bench(settings=SETTINGS, servers=4, seed=99)
+    verdicts = []
+    for bench in (one, other):
+        bench.feed(CUT)
+        seen = []
+        for at in range(60):
+            actions = bench.offer(number=f"{at}")
+            shed = [action for action in actions if isinstance(action, Refuse)]
+            assert all(1_200.0 <= action.hold_off <= 2_000.0 for action in shed)
+            seen.append(bool(shed))
+            for send in sends(actions):
+                bench.stand(send)
+        verdicts.append(seen)
+    assert verdicts[0] == verdicts[1] == [draw(f"{at}", 3) >= 0.5 for at in range(60)]
+    assert 15 < sum(verdicts[0]) < 45
+
+
+def test_a_redial_meets_the_same_verdict_and_a_late_one_its_worth() -> None:
+    bench = bench_of()
+    bench.feed(CUT)
+    number = next(f"{at}" for at in range(99) if draw(f"{at}", 3) < 0.5)
+    other = next(f"{at}" for at in range(99) if draw(f"{at}", 3) >= 0.5)
+    assert [type(action) for action in bench.offer(number=other)] == [Refuse]
+    bench.advance(800.0)
+    assert [type(action) for action in bench.offer(number=other)] == [Refuse]
+    bench.advance(1_300.0)  # past the aim: late, and worth a fifth
+    assert [type(action) for action in bench.offer(number=other)] == [Refuse]
+    assert len(sends(bench.offer(number=number))) == 1
+    bench.feed(replace(CUT, shares=(("plain", 1.0), ("urgent", 1.0)), floor=0.0))
+    assert len(sends(bench.offer(number=other))) == 1
+
+
+def test_what_is_let_in_whole_goes_as_without_a_fleet_action_for_action() -> None:
+    told, alone = bench_of(), bench_of()
+    told.feed(replace(CUT, shares=(("plain", 1.0), ("urgent", 1.0)), admitted=1.0, floor=0.0))
+    for at in range(200):
+        pair = [bench.offer(first=at % 4, number=f"{at}") for bench in (told, alone)]
+        assert pair[0] == pair[1]
+        for bench, actions in zip((told, alone), pair, strict=True):
+            for send in sends(actions):
+                bench.stand(send, delay=10.0 + at % 7)
+            bench.advance(20.0)
+
+
+def test_a_further_attempt_costs_a_token_and_none_are_left_at_the_end_of_their_life() -> None:
+    bench = bench_of()
+    bench.feed(RepeatBudget(1.0, 1_000.0))
+    [first], [second] = sends(bench.offer(number="1")), sends(bench.offer(number="2"))
+    assert len(sends(bench.end(first.ref, first.server, Ending.CUT))) == 1
+    assert finals(bench.end(second.ref, second.server, Ending.CUT)) == [Fail(second.ref)]
+    bench.feed(RepeatBudget(5.0, 1_000.0))
+    [third] = sends(bench.offer(number="3"))
+    bench.now += 1_001.0  # the process stood still: what it held counts for nothing
+    assert finals(bench.end(third.ref, third.server, Ending.CUT)) == [Fail(third.ref)]
+
+
+def test_without_a_budget_attempts_are_as_many_as_the_settings_allow() -> None:
+    bench = bench_of()
+    [send] = sends(bench.offer(number="1"))
+    for attempt in range(SETTINGS.max_attempts - 1):
+        [send] = sends(bench.end(send.ref, send.server, Ending.CUT, attempt=attempt))
+    assert finals(bench.end(send.ref, send.server, Ending.CUT, attempt=SETTINGS.max_attempts - 1))
+
+
+def test_pressure_that_a_peer_heard_makes_an_image_by_the_own_rate_and_its_age() -> None:
+    bench = bench_of(servers=1)
+    for _ in range(20):
+        for send in sends(bench.offer()):
+            bench.stand(send, delay=5.0)
+        bench.advance(100.0)
+    rate = bench.controller._offered_rate(bench.now, bench.controller.servers["s0"])
+    bench.feed(PeerPressure("s0", 0.0, 0.5))
+    image = bench.controller.servers["s0"].image
+    assert image is not None and image.rate == pytest.approx(0.5 * rate, rel=0.05)
+    bench.feed(PeerPressure("s0", 0.0, 0.0))  # newer, and less: it is not held against the server longer
+    assert bench.controller.servers["s0"].image is None
+    bench.feed(PeerPressure("s0", 60_000.0, 0.9))
+    assert bench.controller.servers["s0"].image is None  # too old to mean anything
+    assert not bench.feed(PeerPressure("elsewhere", 0.0, 0.9))
+
+
+def test_what_the_fleet_holds_back_is_not_held_back_again_by_images() -> None:
+    """A server asks for 0.4 and the fleet lets 0.6 in: there is nothing left to hold back."""
+    bench = bench_of(servers=1)
+    bench.feed(CUT)
+    bench.press("s0", 0.4)
+    assert bench.controller.servers["s0"].image is None
+    bench.press("s0", 0.8)
+    image = bench.controller.servers["s0"].image
+    assert image is not None and image.hold_back == pytest.approx(1.0 - 0.2 / 0.6)
+
+
+def test_a_call_in_transit_is_not_shed() -> None:
+    bench = bench_of()
+    bench.feed(replace(CUT, shares=(("plain", 0.0), ("urgent", 0.0))))
+    assert any(isinstance(action, SendSetUp) for action in bench.offer(number="1", in_transit=True))
--- /dev/null
+++ b/tests/overload/test_processes.py
@@ -0,0 +1,154 @@
+"""Overload as one, on real processes with faults between them, by what servers and callers saw."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from martentide.net.links import unix_ms
+from martentide.overload.core import DEPTH, PURSE, REPEAT_SHARE
+from martentide_lab.checker import check_repeats, cold_use
+from martentide_lab.fleet.rig import Rig
+from martentide_lab.fleet.story import Step
+from martentide_lab.servers import READY, Arrival, SessionServer
+from tests.fleet.support import LIMIT, play
+
+SHARES = (0.74, 0.05, 0.21)  # of the classes
+RATE = 20.0  # set-ups a second of a server
+SERVERS, PROXIES = 3, 6
+ON = "overload #true"
+
+
+async def do(rig: Rig, verb: str, *arguments: object) -> None:
+    await rig.do(Step(0.0, verb, arguments))
+
+
+def storm(
+    scene: Callable[[Rig], Awaitable[None]], *, honour: float | None = None, budget: bool = True, **more: Any
+) -> None:
+    """1.7 times the planned load while the scene is played; then it goes, and all have to let everything in
+    again, none having repeated more than the fleet may."""
+
+    async def whole(rig: Rig) -> None:
+        for server in rig.servers:
+            server.script.rate = RATE
+        for load in rig.loads.values():
+            load.honour = load.honour if honour is None else honour
+        await asyncio.sleep(1.5)
+        await do(rig, "surge", 1.7)
+        await scene(rig)
+        await do(rig, "surge", 0.7)
+        await rig.until(lambda: any(event.kind == "overload" for event in rig.log), LIMIT)
+        await rig.until(lambda: rig.calm() and rig.whole(), LIMIT)
+        if budget:
+            tries = sum(len(load.stories) for _, load in rig.all_loads)
+            lives = len(rig.all_loads)
+            assert not check_repeats(rig.servers, tries, REPEAT_SHARE, lives, DEPTH + PURSE)
+
+    more = {"extra": ON, "redials": 3, "shares": SHARES, **more}
+    play(whole, PROXIES, SERVERS, rate=0.8 * RATE * SERVERS, **more)
+
+
+def test_a_surge_at_one_proxy_sheds_by_class_at_all() -> None:
+    async def scene(rig: Rig) -> None:
+        await do(rig, "surge", 1.0)
+        await do(rig, "surge-at", "n0", 6.0)
+        await asyncio.sleep(4.0)
+        shedding = {event.who for event in rig.log if event.kind == "overload"}
+        assert len(shedding) == PROXIES  # also those to which no more is offered than before
+
+    storm(scene)
+
+
+def test_split_four_to_two_in_the_surge_and_healed() -> None:
+    async def scene(rig: Rig) -> None:
+        await asyncio.sleep(1.0)
+        await do(rig, "split", "n0,n1,n2,n3", "n4,n5")
+        await asyncio.sleep(4.0)
+        await do(rig, "heal")
+
+    storm(scene)
+
+
+def test_one_that_stood_still_for_three_seconds_wakes_with_old_tokens_and_an_old_cut() -> None:
+    async def scene(rig: Rig) -> None:
+        await asyncio.sleep(1.0)
+        await do(rig, "stop", "n1")
+        await asyncio.sleep(3.0)
+        await do(rig, "continue", "n1")
+
+    storm(scene)
+
+
+def test_most_are_killed_in_the_surge_and_come_back() -> None:
+    async def scene(rig: Rig) -> None:
+        await asyncio.sleep(1.0)
+        await do(rig, "kill", "n1,n2,n3,n4")
+        await asyncio.sleep(1.0)
+        await do(rig, "start", "n1,n2,n3,n4")
+        await do(rig, "surge", 1.7)
+
+    storm(scene)
+
+
+def test_one_server_hung_one_slow_one_cold_at_once() -> None:
+    async def scene(rig: Rig) -> None:
+        hung, slow, cold = rig.servers
+        hung.script.mute = hung.script.deaf = True
+        slow.script.rate = RATE / 3.0
+        cold.script.cold_from = unix_ms()
+        rig.board.tell([(cold, READY)], started=int(cold.script.cold_from))
+        await asyncio.sleep(4.0)
+        assert cold_use(cold) <= 1.0
+        hung.script.mute = hung.script.deaf = False
+        slow.script.rate = RATE
+
+    storm(scene)
+
+
+def test_callers_that_ignore_the_time_to_come_back() -> None:
+    storm(lambda rig: asyncio.sleep(4.0), honour=0.0)
+
+
+def test_half_of_the_fleet_without_the_part() -> None:
+    storm(lambda rig: asyncio.sleep(4.0), budget=False, extra={f"n{at}": ON for at in range(0, PROXIES, 2)})
+
+
+def test_word_two_seconds_late_everywhere() -> None:
+    """Nobody is heard in time: each acts alone, by its own share."""
+
+    async def scene(rig: Rig) -> None:
+        await do(rig, "delay", 2_000, 100)
+        await asyncio.sleep(5.0)
+        await do(rig, "delay", 0, 2)
+
+    storm(scene)
+
+
+def test_what_the_part_does_is_shown() -> None:
+    async def scene(rig: Rig) -> None:
+        said = (await rig.status("n0"))["overload"]
+        assert said["phase"] == "normal" and set(said["shares"].values()) <= {1.0}
+        assert said["admitted"] == 1.0 and said["alone"] in (True, False)
+
+    play(scene, 2, 1, extra=ON)
+
+
+@pytest.mark.parametrize(("further", "broken"), [(11, False), (30, True)])
+def test_the_checker_of_repeats_can_fail(further: int, broken: bool) -> None:
+    server = SessionServer(0)
+    for at in range(20):
+        server.arrivals.append(Arrival(at.to_bytes(8, "big"), b"", float(at)))
+    server.arrivals += [Arrival((1).to_bytes(8, "big"), b"", float(at)) for at in range(further)]
+    assert bool(check_repeats([server], 20, 0.15, 1, 9.0)) is broken
+
+
+@pytest.mark.parametrize(("gap", "over"), [(500.0, False), (20.0, True)])
+def test_the_checker_of_cold_servers_can_fail(gap: float, over: bool) -> None:
+    server = SessionServer(0)
+    server.script.rate, server.script.cold_from = RATE, 0.0
+    server.arrivals = [Arrival(b"", b"", gap * at) for at in range(100)]
+    assert (cold_use(server) > 1.0) is over
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -217,3 +217,25 @@
                     bench.feed(ProbeEnded(action.server, Ending.DELIVERED, False, 10.0, None))
         counts.append(asked)
     assert counts[0] / counts[1] == pytest.approx(math.sqrt(300 / 12), rel=0.25)
+
+
+def test_a_suspect_is_probed_only_until_something_comes_back_from_it() -> None:
+    bench = one_of(200, may_probe=True)
+    [send] = sends(bench.offer())
+    bench.end(send.ref, send.server, Ending.TIMED_OUT)
+    assert bench.controller.servers[send.server].suspect
+    asked = [action for action in bench.advance(rules.CARE_GAP) if isinstance(action, Probe)]
+    assert asked == [Probe(send.server)]
+    bench.feed(ProbeEnded(send.server, Ending.DELIVERED, False, 10.0, None))
+    later = [action for action in bench.advance(30_000.0) if isinstance(action, Probe)]
+    assert not later and bench.controller.servers[send.server].suspect  # a caller's trial tells more
+
+
+def test_the_window_of_one_that_serves_more_is_wider() -> None:
+    def out(pace: float) -> int:
+        bench = Bench(settings=replace(SETTINGS, proxies=200), servers=24)
+        bench.controller.pace = pace  # set-ups/s of a server of size 1
+        return sum(len(sends(bench.offer(first=at % 24))) for at in range(40))
+
+    light, heavy = out(0.1), out(2.0)
+    assert light == 2 and heavy > 5 * light
