--- a/benchmarks/fleet_overload.py
+++ b/benchmarks/fleet_overload.py
@@ -2,16 +2,18 @@
 
 Real processes, servers with a processor and a line, callers who dial again: 1.7 times the planned load for
 6 s, and what comes after it. Variants are played in turn for each seed. Beside it the same in simulated time.
-The last line is ``RESULT {json}``.
+The last line is ``RESULT {json}``. ``--chart FILE`` draws the worth served, second by second (SVG, PNG).
 """
 
 from __future__ import annotations
 
 import asyncio
 import dataclasses
+import itertools
 import json
 import statistics
 import sys
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from typing import Any
 
@@ -22,6 +24,7 @@
 from martentide_lab.fleet.simulated import SimulatedFleet
 from martentide_lab.fleet.story import Script, Step
 from martentide_lab.proxy import CLASSES, site_settings
+from martentide_lab.servers import SessionServer
 from martentide_lab.sim import Processor, Site
 
 RATE, USE = 20.0, 0.8  # set-ups/s of a server, and the share of it that is planned
@@ -92,12 +95,14 @@
         "first_2s_after": worth(between(until, until + 2_000.0)),
         "recover_s": (whole - until) / 1_000.0, "dials_a_story": statistics.mean(dialled) if dialled else 0.0,
         "unfairness": max(shares) / max(0.01, min(shares)) if len(shares) > 1 else 1.0,
-        "class_order_kept": float(all(one >= other - 0.03 for one, other in zip(order, order[1:], strict=False))),
+        "class_order_kept": float(all(one >= other - 0.03 for one, other in itertools.pairwise(order))),
         **{f"surge_{kind}": share for kind, share in by_class.items()},
     }  # fmt: skip
 
 
-async def real(processes: int, servers: int, extra: str | None, seed: int) -> dict[str, float]:
+async def real(
+    processes: int, servers: int, extra: str | None, seed: int
+) -> tuple[dict[str, float], list[float]]:
     capacity = RATE * servers
     steps = (Step(1000 * BEGIN, "surge", (SURGE,)), Step(1000 * (BEGIN + SPAN), "surge", (1.0,)))
     script = Script(
@@ -117,12 +122,22 @@
         broken = rig.broken()
         for line in broken[:5]:
             print(line, file=sys.stderr)
-        span = sum(len(server.arrivals) for server in rig.servers)
-        return {
-            **figures(stories, [story.tries for _, story in told], [name for name, _ in told], begin, capacity),
-            "set_ups": float(span), "tests": float(sum(len(server.tests) for server in rig.servers)),
+        seen = {
+            **figures(
+                stories, [story.tries for _, story in told], [name for name, _ in told], begin, capacity
+            ),
+            "set_ups": float(sum(len(server.arrivals) for server in rig.servers)),
+            "further_share": further(rig.servers) / max(1, len(told)),
+            "tests": float(sum(len(server.tests) for server in rig.servers)),
             "rules_broken": float(len(broken)),
-        }  # fmt: skip
+        }
+        return seen, series(stories, begin)
+
+
+def further(servers: Iterable[SessionServer]) -> int:
+    """Attempts beyond the first of each call, by what came to the servers."""
+    came = Counter(one.call for server in servers for one in server.arrivals)
+    return sum(count - 1 for count in came.values())
 
 
 def simulated(proxies: int, servers: int, variant: str, seed: int) -> dict[str, float]:
@@ -144,6 +159,30 @@
     return {**figures(stories, tries, homes, 1000 * BEGIN, RATE * servers), "set_ups": float(len(site.sent))}
 
 
+def series(stories: Sequence[tuple[str, float, float | None]], begin: float) -> list[float]:
+    """Worth by second, from 5 s before the surge on."""
+    first = begin - 5_000.0
+    return [
+        worth([one for one in stories if first + 1_000.0 * at <= one[1] < first + 1_000.0 * (at + 1)])
+        for at in range(int(END - BEGIN + 5.0) - 4)
+    ]
+
+
+def draw(name: str, lines: dict[str, list[list[float]]]) -> None:
+    from matplotlib.figure import Figure
+
+    figure = Figure(figsize=(7.0, 3.2), layout="constrained")
+    axes = figure.subplots()
+    axes.axvspan(0.0, SPAN, color="0.9", label=f"{SURGE} times the planned load")
+    for variant, plays in lines.items():
+        middle = [statistics.mean(play[at] for play in plays) for at in range(len(plays[0]))]
+        axes.plot([at - 4.5 for at in range(len(middle))], middle, label=f"{variant} (mean of {len(plays)})")
+    axes.set(xlabel="s from the begin of the surge", ylabel="worth served in time", ylim=(0.0, 1.03))
+    axes.legend(loc="lower right", fontsize="small")
+    for ending in ("svg", "png"):
+        figure.savefig(f"{name}.{ending}")
+
+
 def mean(plays: Sequence[dict[str, float]]) -> dict[str, float]:
     return {name: round(statistics.mean(play[name] for play in plays), 3) for name in plays[0]}
 
@@ -154,8 +193,11 @@
 @click.option("--seeds", default=5, show_default=True)
 @click.option("--variants", default="alone,duty,fleet", show_default=True)
 @click.option("--sizes", default="8,12,50,200", show_default=True, help="proxies in simulated time")
+@click.option("--chart", default=None, help="file without its ending; needs matplotlib")
 @click.option("--short", is_flag=True, help="4 processes, 3 servers, one seed; asserts the counts only")
-def main(processes: int, servers: int, seeds: int, variants: str, sizes: str, short: bool) -> None:
+def main(
+    processes: int, servers: int, seeds: int, variants: str, sizes: str, chart: str | None, short: bool
+) -> None:
     if short:
         processes, servers, seeds, variants, sizes = 4, 3, 1, "fleet", "8"
     result: dict[str, Any] = {"processes": processes, "servers": servers, "seeds": seeds}
@@ -165,15 +207,19 @@
             plays = [simulated(int(size), 8, variant, seed) for seed in range(1, (2 if short else 3) + 1)]
             result[f"simulated-{size}-{variant}"] = mean(plays)
             print(json.dumps({"size": size, "variant": variant, **mean(plays)}), flush=True)
+    lines: dict[str, list[list[float]]] = {}
     real_plays: dict[str, list[dict[str, float]]] = {variant: [] for variant in chosen}
     for seed in range(1, seeds + 1):
         for variant in chosen if processes else ():
-            play = asyncio.run(real(processes, servers, VARIANTS[variant], seed))
+            play, line = asyncio.run(real(processes, servers, VARIANTS[variant], seed))
+            lines.setdefault(variant, []).append(line)
             real_plays[variant].append(play)
             print(json.dumps({"seed": seed, "variant": variant, **play}), flush=True)
     for variant, kept in real_plays.items():
         if kept:
             result[f"real-{variant}"] = mean(kept)
+    if chart is not None:
+        draw(chart, lines)
     if short:
         assert result["real-fleet"]["rules_broken"] == 0, result
         assert result["real-fleet"]["class_order_kept"] == 1, result
--- a/martentide/net/fleet/show.py
+++ b/martentide/net/fleet/show.py
@@ -53,4 +53,11 @@
     for what in ("tests", "trials"):
         if left := said.get(f"{what}_left_to_others"):
             lines.append(f"{what} left to others: {', '.join(left)}")
+    if (load := said.get("overload")) is not None:
+        cut = ", ".join(f"{kind} {share:.0%}" for kind, share in load["shares"].items() if share < 1.0)
+        alone = ", by what it sees alone" if load["alone"] else ""
+        lines.append(
+            f"overload: {load['phase']}{alone}, pressure {load['pressure']:.2f}, lets in "
+            f"{load['admitted']:.0%}{f' ({cut})' if cut else ''}, {load['tokens']:g} tokens"
+        )
     return "\n".join(lines)
--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -89,6 +89,10 @@
         ('fleet { name "f"; listen "0.0.0.0:1" }', "expected an address that others can reach (advertise)"),
         ('fleet { name "f"; listen "127.0.0.1:1"; seeds "a" }', "seeds: expected HOST:PORT, found 'a'"),
         ('fleet { name "f"; listen "127.0.0.1:1"; sedes "a:1" }', "unknown node; did you mean seeds?"),
+        (
+            'fleet { name "f"; listen "127.0.0.1:1"; overload "on" }',
+            "overload: expected #true or #false, found 'on'",
+        ),
         ('fleet { name ""; listen "127.0.0.1:1" }', "name: expected 1 to 64 bytes, found ''"),
         (
             'fleet { name "f"; listen "127.0.0.1:1"; times period-ms=80 }',
--- a/tests/overload/test_processes.py
+++ b/tests/overload/test_processes.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import pytest
 
+from martentide.net.fleet.show import table
 from martentide.net.links import unix_ms
 from martentide.overload.core import DEPTH, PURSE, REPEAT_SHARE
 from martentide_lab.checker import check_repeats, cold_use
@@ -133,6 +135,7 @@
         said = (await rig.status("n0"))["overload"]
         assert said["phase"] == "normal" and set(said["shares"].values()) <= {1.0}
         assert said["admitted"] == 1.0 and said["alone"] in (True, False)
+        assert "overload: normal" in table(json.dumps(await rig.status("n0")))
 
     play(scene, 2, 1, extra=ON)
 
