Take hearsay images out of overload as one, where they did not pay; calmer level; parts measured

Need: the issue asks that a part that does not pay is taken out. So PeerPressure goes; the share let in closes the lapse of light senders' images as well, since all members hold back alike.

--- a/martentide/interface.py
+++ b/martentide/interface.py
@@ -244,15 +244,6 @@
     wait: float | None
 
 
-@dataclass(frozen=True, slots=True)
-class PeerPressure:
-    """``age`` ms ago a server asked another member to hold ``hold_back`` (0 to 1) of new set-ups back."""
-
-    server: str
-    age: float
-    hold_back: float
-
-
 @dataclass(frozen=True, slots=True)
 class Admission:
     """What the whole fleet lets in from now on: by class the share (0 to 1), at the cut settled by the number
@@ -295,7 +286,6 @@
     | ColdShare
     | TestDuty
     | PeerNews
-    | PeerPressure
     | Admission
     | RepeatBudget
     | TimerDue
--- a/martentide/net/decider.py
+++ b/martentide/net/decider.py
@@ -29,7 +29,6 @@
     ListKind,
     Note,
     PeerNews,
-    PeerPressure,
     Probe,
     ProbeEnded,
     Refuse,
@@ -150,7 +149,6 @@
     | ColdShare
     | TestDuty
     | PeerNews
-    | PeerPressure
     | Admission
     | RepeatBudget
 )
--- a/martentide/overload/core.py
+++ b/martentide/overload/core.py
@@ -20,7 +20,6 @@
     AttemptEnded,
     Ending,
     Event,
-    PeerPressure,
     ProbeEnded,
     RepeatBudget,
     Report,
@@ -52,7 +51,6 @@
 OLD = 2_500.0  # ms after which word of a server counts no more
 APART = 0.25  # share by which the newest claim may differ from the next member's
 CLAIMANTS = 4  # whose claims on one server are kept
-NEWER = 100.0  # ms by which a peer's word must be newer to be told to the decisions
 WINDOW = 4_000.0  # ms over which rates fade
 MIX_STEP = 0.1  # weight of one word in the mix of classes
 TURN = 5_000.0  # ms; a number's verdict holds for TURNS of them
@@ -71,10 +69,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    events: tuple[PeerPressure | Admission | RepeatBudget, ...]
+    events: tuple[Admission | RepeatBudget, ...]
     word: bytes | None
 
 
+PARTS = (
+    "pressure",
+    "cut",
+    "budget",
+    "late",
+    "word",
+)  # "late": late redials stay out; "word": others' is heard
+
+
 class Rate:
     """Events a second, fading."""
 
@@ -103,6 +110,7 @@
         self, name: str, life: int, worths: Mapping[str, float], longest: float, tolerable: float, seed: int
     ) -> None:
         self.name, self.worths, self.longest, self.tolerable = name, dict(worths), longest, tolerable
+        self.without: frozenset[str] = frozenset()  # of PARTS, to measure what each brings
         self.own: dict[str, tuple[float, float]] = {}  # as ``known``, by what this proxy saw itself
         self.least: dict[str, float] = {}  # shortest time to an answer, by server
         self.random = random.Random(seed)
@@ -114,7 +122,6 @@
         self.mix: dict[str, float] = {}
         self.known: dict[str, tuple[float, float]] = {}  # by server: share asked, when by the own clock
         self.claims: dict[str, dict[str, tuple[float, float]]] = {}  # by server and who saw it so
-        self.given: dict[str, float] = {}  # newest word handed to the decisions
         self.counters: dict[str, tuple[int, int, float]] = {}  # last word of each: life, counter, when
         self.began: float | None = None  # own time at which turn 0 began
         self.looked: float | None = None
@@ -202,20 +209,20 @@
         for name, seen in self.own.items():
             self.claims.setdefault(name, {})[self.name] = seen
         words = list(heard)
-        events: list[PeerPressure | Admission | RepeatBudget] = []
+        events: list[Admission | RepeatBudget] = []
         turns = []
         for owner, life, counter, load, age in words:
             turns.append(load.turn * TURN + load.turn_age + age)
-            if owner != self.name and owner in living and self._newer(owner, life, counter, now):
+            mine = owner == self.name or "word" in self.without
+            if not mine and owner in living and self._newer(owner, life, counter, now):
                 self._hear(now, life, owner, load, age, servers)
         self._turn(now, turns)
         self._weigh(now, servers)
         self.pressure = pressure_of(hold * 0.5 ** ((now - at) / FADE) for hold, at in self.known.values())
         self.level.look(now, self.pressure, self._storm(now))
-        if self.pressure >= PRESSED / 2 or self.level.phase is not Phase.NORMAL:
-            events += self._peer_pressure(now, servers)
-        self._budget(now, words, living, purse, events)
-        admission = self._admission(now)
+        if "budget" not in self.without:
+            self._budget(now, words, living, purse, events)
+        admission = None if "cut" in self.without else self._admission(now)
         if admission is not None:
             events.append(admission)
         return Outcome(tuple(events), self._word(now, living))
@@ -230,7 +237,6 @@
             )[:CLAIMANTS]
             if not fresh or name not in servers:
                 del self.claims[name]
-                self.given.pop(name, None)
                 continue
             self.claims[name] = {owner: (hold, at) for at, hold, owner in fresh}
             at, hold, owner = fresh[0]
@@ -303,15 +309,6 @@
         stood = self.stood.read(now) / max(1e-9, coming * self.level.admitted)
         return stood < STORM_STOOD and self.redials.read(now) > STORM_REDIALS * firsts
 
-    def _peer_pressure(self, now: float, servers: Collection[str]) -> list[PeerPressure]:
-        """Word of others that is newer than what the decisions saw themselves, or were told of before."""
-        events: list[PeerPressure] = []
-        for name, (hold, at) in self.known.items():
-            if at > max(self.own.get(name, (0.0, -1e18))[1], self.given.get(name, -1e18)) + NEWER:
-                self.given[name] = at
-                events.append(PeerPressure(name, now - at, hold))
-        return events
-
     # ---- the budget ---------------------------------------------------------------------------------------
 
     def _budget(
@@ -320,7 +317,7 @@
         words: list[tuple[str, int, int, Load, float]],
         living: Mapping[str, int],
         purse: float,
-        events: list[PeerPressure | Admission | RepeatBudget],
+        events: list[Admission | RepeatBudget],
     ) -> None:
         escrow = self.escrow
         for owner, life, _, load, age in words:
@@ -349,7 +346,7 @@
         turn = int((now - self.began) / TURN)
         cut = shares(self.level.admitted, self.worths, self.mix or dict.fromkeys(self.worths, 1.0))
         floor = 0.0
-        if self.level.refrains(now):
+        if self.level.refrains(now) and "late" not in self.without:
             floor = min((self.worths[kind] for kind, share in cut.items() if share > 0.0), default=0.0)
         last = self.said
         whole = min(cut.values(), default=1.0) >= 1.0
@@ -418,4 +415,4 @@
     return part.look(now, servers, heard, living, purse), bad
 
 
-__all__ = ["END", "LOAD", "SCHEMA", "Overload", "look"]
+__all__ = ["END", "LOAD", "PARTS", "SCHEMA", "Overload", "look"]
--- a/martentide/overload/level.py
+++ b/martentide/overload/level.py
@@ -15,8 +15,8 @@
 from enum import IntEnum
 
 PRESSED = 0.12  # share asked to be held back, below which nothing is shed at once
-SWIFT = 1.6  # in the exponent, for pressure beyond it
-LASTING = 0.35  # share asked to be held back beyond which the slow part falls, and below which it rises
+SWIFT = 1.0  # in the exponent, for pressure beyond it
+LASTING = 0.5  # share asked to be held back beyond which the slow part falls, and below which it rises
 SLOW = 0.5  # in the exponent, a second
 RAMP = 0.25  # of everything, a second, at which the slow part rises at most
 STORM = 0.8  # in the exponent, a second, on top where a storm feeds itself
--- a/martentide/rules.py
+++ b/martentide/rules.py
@@ -16,7 +16,7 @@
 
 from martentide.interface import (
     Action, Admission, AttemptEnded, CallClass, CallerGone, CancelAttempt, ColdShare, Ending, Event, Fail,
-    FollowList, ListKind, PeerMessage, PeerNews, PeerPressure, Probe, ProbeEnded, Refuse, Repeat,
+    FollowList, ListKind, PeerMessage, PeerNews, Probe, ProbeEnded, Refuse, Repeat,
     RepeatBudget, Report, ReportBy, SendSetUp, ServerEntry, ServerList, ServerState, SetTimer, Settings,
     SettingsChanged, SetUpOffered, Stands, TellPeer, TestDuty, TimerDue,
 )  # fmt: skip
@@ -248,7 +248,7 @@
                 self.calls.pop(event.ref, None)
             case ProbeEnded():
                 self._probed(now, event)
-            case PeerMessage() | TestDuty() | PeerNews() | PeerPressure() | Admission() | RepeatBudget():
+            case PeerMessage() | TestDuty() | PeerNews() | Admission() | RepeatBudget():
                 self._hear_fleet(now, event)
             case SettingsChanged(settings):
                 self._settle(settings)
@@ -780,11 +780,6 @@
                 self.duty = event
             case PeerNews(name, age, wait) if name in self.servers:
                 self._news(now, self.servers[name], now - age, wait)
-            case PeerPressure(name, age, hold_back) if name in self.servers:
-                faded, image = hold_back * 0.5 ** (age / HOLD_BACK_FADE), self.servers[name].image
-                if image is not None:
-                    image.hold_back = min(image.hold_back, faded)  # it is newer than what made the image
-                self._pressure(now, self.servers[name], faded, None)
             case Admission():
                 self.admission = event
             case RepeatBudget(tokens, life):
--- a/martentide_lab/sim.py
+++ b/martentide_lab/sim.py
@@ -136,9 +136,9 @@
 
     # ---- the fleet ----------------------------------------------------------------------------------------
 
-    def join(self, fleet: SimulatedFleet, sheds: bool = False) -> None:
+    def join(self, fleet: SimulatedFleet, sheds: bool = False, without: frozenset[str] = frozenset()) -> None:
         """The proxies are members, ``n0`` and on, from now on; the fleet's clock is this one. ``sheds``: they
-        handle overload together."""
+        handle overload together, ``without`` some parts of that."""
         self.fleet = fleet
         fleet.now = self.now
         fleet.acquaint()
@@ -157,6 +157,8 @@
                 for at, node in enumerate(fleet.nodes.values())
                 if node.core is not None
             ]
+            for part in self.overloads:
+                part.without = without
         for at in range(len(self.controllers)):
             self.at(self.now + self.dice.uniform(0.0, LOOK), lambda at=at: self._look(at))  # type: ignore[misc]
 
