--- a/tests/overload/test_core.py
+++ b/tests/overload/test_core.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import msgspec
 import pytest
 
@@ -14,9 +16,9 @@
     SetUpOffered,
     Stands,
 )
-from martentide.overload.core import ALONE, APART, DEPTH, PURSE, WOKEN, Overload
+from martentide.overload.core import ALONE, APART, DEPTH, PURSE, REPEAT_SHARE, WOKEN, Overload
 from martentide.overload.level import PRESSED, Phase
-from martentide.overload.words import MOST_SERVERS, Gift, Load, Pressed, read_load, write_load
+from martentide.overload.words import END, MOST_SERVERS, Gift, Load, Pressed, read_load, write_load
 
 WORTHS = {"status": 1.0, "sign": 6.0}
 SERVERS = [f"s{at}" for at in range(4)]
@@ -203,3 +205,36 @@
     assert read_load(later).pressed == [Pressed("s0", 1, 2)]
     with pytest.raises(msgspec.DecodeError):
         read_load(b"\xc1")
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_tokens_handed_to_the_decisions_are_never_more_than_first_tries_earned(seed: int) -> None:
+    """Four members; words lost, doubled, late, reordered; stops; members that begin anew."""
+    dice = random.Random(seed)
+    parts = [Overload(name, life, WORTHS, 2_000.0, 600.0, seed) for name, life in list(LIVING.items())[:4]]
+    lives = dict(list(LIVING.items())[:4])
+    said: list[tuple[float, str, int, int, Load]] = []
+    now, tries, handed, counter = 0.0, 0, 0.0, 0
+    for _ in range(400):
+        now += dice.choice([0.0, 50.0, 250.0, 250.0, 3_000.0])
+        at = dice.randrange(4)
+        part = parts[at]
+        if dice.random() < 0.02:
+            lives[part.name] += 100
+            part = parts[at] = Overload(part.name, lives[part.name], WORTHS, 2_000.0, 600.0, seed)
+        for _ in range(dice.choice([0, 0, 5, 30])):
+            number = f"{dice.getrandbits(40)}"
+            part.observe(now, SetUpOffered(1, "status", None, number, 3_000.0, -1, False, False))
+            tries += 1
+        heard = [
+            (owner, life, number, load, now - when)
+            for when, owner, life, number, load in dice.sample(said, min(len(said), dice.randrange(4)))
+            if owner != part.name and now - when < END
+        ]
+        outcome = part.look(now, SERVERS, heard, lives, float(dice.choice([0, 0, PURSE])))
+        handed += sum(event.tokens for event in outcome.events if isinstance(event, RepeatBudget))
+        if outcome.word is not None:
+            counter += 1
+            said = [*said[-20:], (now, part.name, lives[part.name], counter, read_load(outcome.word))]
+        assert handed <= REPEAT_SHARE * tries + 1e-9
+    assert handed > 0
--- a/tests/overload/test_processes.py
+++ b/tests/overload/test_processes.py
@@ -12,7 +12,9 @@
 from martentide.net.fleet.show import table
 from martentide.net.links import unix_ms
 from martentide.overload.core import DEPTH, PURSE, REPEAT_SHARE
+from martentide.overload.words import LOAD, Load, Pressed, write_load
 from martentide_lab.checker import check_repeats, cold_use
+from martentide_lab.fleet.ghost import Ghost
 from martentide_lab.fleet.rig import Rig
 from martentide_lab.fleet.story import Step
 from martentide_lab.servers import READY, Arrival, SessionServer
@@ -111,6 +113,58 @@
     storm(scene)
 
 
+def test_a_surge_that_wanders_from_proxy_to_proxy() -> None:
+    async def scene(rig: Rig) -> None:
+        await do(rig, "surge", 1.0)
+        for name in ("n0", "n1", "n2", "n3"):
+            await do(rig, "surge-at", name, 6.0)
+            await asyncio.sleep(1.2)
+            await do(rig, "surge-at", name, 1.0)
+        assert {event.who for event in rig.log if event.kind == "overload"} == set(rig.proxies)
+
+    storm(scene)
+
+
+async def lie(rig: Rig, hold: int, lasting: int, spans: int) -> list[float]:
+    """A member that claims so much of every server and asks for every token; what the others let in then."""
+    ghost = Ghost("n9")
+    admitted = []
+    try:
+        await ghost.join(rig.hub, (rig.hub.told("n0"),))
+        for turn in range(spans):
+            pressed = [Pressed(server.name, hold, 0) for server in rig.servers]
+            offered = {"status-check": 100 + turn}
+            ghost.publish(LOAD, 1, write_load(Load(lasting, 0, 0, 0, offered, pressed, wants=99)))
+            await asyncio.sleep(0.25)
+            if turn >= 8 and turn % 4 == 0:
+                said = [(await rig.status(name))["overload"] for name in rig.proxies]
+                admitted += [one["admitted"] for one in said]
+    finally:
+        ghost.close()
+    return admitted
+
+
+def test_a_liar_that_claims_all_is_full_holds_little_back() -> None:
+    async def scene(rig: Rig) -> None:
+        for load in rig.loads.values():
+            load.rate /= 2.0
+        admitted = await lie(rig, hold=1_000, lasting=0, spans=24)
+        assert admitted and min(admitted) >= 0.6, admitted
+        await rig.until(lambda: rig.known_dead("n9"), LIMIT)
+
+    play(scene, PROXIES, SERVERS, rate=0.8 * RATE * SERVERS, extra=ON)
+
+
+def test_a_liar_that_claims_nothing_is_pressed_does_not_keep_others_from_shedding() -> None:
+    async def scene(rig: Rig) -> None:
+        await do(rig, "surge", 2.0)
+        admitted = await lie(rig, hold=0, lasting=1_000, spans=24)
+        assert min(admitted) < 0.95, admitted
+        await rig.until(lambda: rig.known_dead("n9"), LIMIT)
+
+    storm(scene)
+
+
 def test_callers_that_ignore_the_time_to_come_back() -> None:
     storm(lambda rig: asyncio.sleep(4.0), honour=0.0)
 
