--- a/martentide/rules.py
+++ b/martentide/rules.py
@@ -597,7 +597,7 @@
         lesser = 1.0 - self._value(call, now) / self.top_worth
         if server.free_lines is not None and server.free_lines < 1.0 + RESERVED_LINES * lesser:
             return False
-        need = 1.0 + RESERVED * lesser * (self.admission is None)  # the fleet's cut went by classes
+        need = 1.0 + RESERVED * lesser
         if (cold is not None and cold < 1.0) or (image is not None and image.room(now) < need):
             return False
         if cold is not None:
