--- a/martentide/overload/core.py
+++ b/martentide/overload/core.py
@@ -73,13 +73,7 @@
     word: bytes | None
 
 
-PARTS = (
-    "pressure",
-    "cut",
-    "budget",
-    "late",
-    "word",
-)  # "late": late redials stay out; "word": others' is heard
+PARTS = ("cut", "budget", "late", "word")  # "late": late redials stay out; "word": others' is heard
 
 
 class Rate:
