--- a/martentide/rules.py
+++ b/martentide/rules.py
@@ -722,7 +722,8 @@
             self._tell_peers(now)
         if self.settings.may_probe:
             for server in self.servers.values():
-                useful = server.suspect and server.heard_at < server.failed_at
+                # Of many proxies' tests, those of a server that answered would add up: trials tell more.
+                useful = server.suspect and (self.part == 1.0 or server.heard_at < server.failed_at)
                 useful = useful or self.settings.report_by is ReportBy.PROBES
                 useful = useful and server.entry.name not in self.duty.no_tests
                 if useful and not server.probe_out and now >= server.probe_due:
