Mend what a second reading of overload as one found: old numbers, bytes kept for ever, twins

Found: a number dialled again any time later counted as a redial and earned no token (now within 10 s, tested); once a facet that ends soon was seen, half of the bytes stayed kept for such for ever (now for as long as they end), and one datagram passed over any number of facets for want of bytes (now 16); two fields and an argument that nothing read; a comment that said returns go by number. Left: the level table is read by decisions and overload in one line each.

--- a/martentide/fleet/core.py
+++ b/martentide/fleet/core.py
@@ -35,6 +35,7 @@
 NEWCOMERS_GAP = 250.0  # ms between two tries at seeds of a member that has found nobody yet
 MOST_RELAYS = 256  # probes on behalf of others that are under way
 MOST_NEWS = 4_096  # pieces of news that wait to be told; older ones are made good by comparisons
+MOST_PASSED = 16  # facets that one datagram passes over for want of bytes, to come to those that end soon
 OLDEST_ECHO = 60_000  # ms a stamp may have been kept by the other
 DRIFT = 0.001  # by which two clocks' paces may differ
 FAREWELLS = 12  # members that are told of a departure at once
@@ -228,7 +229,7 @@
         spread = self.random.random()
         self.probe_due = now + spread * terms.period
         self.gossip_due: float | None = None
-        self.brief = False  # whether there are facets here that end soon, for which bytes are kept
+        self.brief_at = -1e18  # when a facet that ends soon was told last: bytes are kept for those
         self.sync_due = now + spread * terms.sync_gap
         self.reach_due = now + spread * 50.0
         self.tokens, self.filled = terms.burst_bytes, now
@@ -597,6 +598,7 @@
             self.news.move_to_end(name)
             if len(words) >= len(self.news):
                 break
+        passed = 0
         for _ in range(len(self.facet_news)):
             key, told = next(iter(self.facet_news.items()))
             facet = self._facet_of(*key)
@@ -608,10 +610,13 @@
             aged = self._aged(facet)
             cost = size(aged)
             # What soon counts no more draws lower: it would come too late behind a backlog of the rest.
-            self.brief |= brief
-            rest = self.terms.burst_bytes / 2 if self.brief else 0.0
+            if brief:
+                self.brief_at = self.now
+            kept = self.now - self.brief_at < self.terms.brief_end
+            rest = self.terms.burst_bytes / 2 if kept else 0.0
             if cost > room or not self._afford(cost, -self.terms.burst_bytes / 8 if brief else rest):
-                if brief or not self.brief:
+                passed += 1
+                if brief or not kept or passed > MOST_PASSED:
                     return
                 self.facet_news.move_to_end(key)
                 continue
--- a/martentide/overload/core.py
+++ b/martentide/overload/core.py
@@ -62,9 +62,11 @@
 DEPTH = 6.0  # tokens an account keeps
 SPARE = 3.0  # tokens above which it gives
 MOST_NUMBERS = 4_096
+REDIAL = 10_000.0  # ms within which a number that is dialled again is a redial: about a class's deadline
+MOST_HEARD = 4_096  # members whose last word is remembered
 ALONE = 10_000.0  # ms without anybody's word: in calm each member says one only now and then
 WOKEN = 2_000.0  # ms between two looks that show that the process stood still
-RETURN_FROM = 0.6  # of the longest advice: callers come back between it and the whole, by their numbers
+RETURN_FROM = 0.6  # of the longest advice: callers come back between it and the whole, at random
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +113,7 @@
         self.level = Level()
         self.escrow = Escrow(name, life, DEPTH)
         self.offered = {kind: Rate() for kind in self.worths}
-        self.redials, self.firsts, self.stood, self.sent = Rate(), Rate(), Rate(), Rate()
+        self.redials, self.firsts, self.stood = Rate(), Rate(), Rate()
         self.numbers: OrderedDict[str, float] = OrderedDict()
         self.mix: dict[str, float] = {}
         self.known: dict[str, tuple[float, float]] = {}  # by server: share asked, when by the own clock
@@ -122,7 +124,6 @@
         self.word_due = 0.0
         self.word_of_pressure = -1e9  # when anybody told of pressure last
         self.said: Admission | None = None
-        self.purse = 0.0
         self.wants = 0
         self.pressure = 0.0
         self.active = False  # whether words are said as often as under pressure
@@ -138,7 +139,7 @@
     def observe(self, now: float, event: Event) -> None:
         match event:
             case SetUpOffered(call_class=kind, number=number, redial=redial):
-                again = redial or (number is not None and number in self.numbers)
+                again = redial or (number is not None and now - self.numbers.get(number, -1e18) <= REDIAL)
                 if number is not None:
                     self.numbers[number] = now
                     self.numbers.move_to_end(number)
@@ -209,7 +210,7 @@
             turns.append(load.turn * TURN + load.turn_age + age)
             mine = owner == self.name or "word" in self.without
             if not mine and owner in living and self._newer(owner, life, counter, now):
-                self._hear(now, life, owner, load, age, servers)
+                self._hear(now, owner, load, age, servers)
         self._turn(now, turns)
         self._weigh(now, servers)
         self.pressure = pressure_of(hold * 0.5 ** ((now - at) / FADE) for hold, at in self.known.values())
@@ -246,13 +247,11 @@
         if last is not None and now - last[2] < LEAST_GAP / 2:
             return False
         self.counters[owner] = (life, counter, now)
-        if len(self.counters) > 4_096:
+        if len(self.counters) > MOST_HEARD:
             self.counters.pop(next(iter(self.counters)))
         return True
 
-    def _hear(
-        self, now: float, life: int, owner: str, load: Load, age: float, servers: Collection[str]
-    ) -> None:
+    def _hear(self, now: float, owner: str, load: Load, age: float, servers: Collection[str]) -> None:
         self.heard_at = now
         for one in load.pressed:
             at = now - age - one.ago
--- a/tests/net/test_rules_on_sockets.py
+++ b/tests/net/test_rules_on_sockets.py
@@ -180,17 +180,23 @@
         assert (released := caller.receive()).call == A and released.cause() == 16
 
 
+def two_links(program: Program) -> tuple[Wire, Wire, Wire]:
+    """A caller whose call A stands over the first of two links to one server."""
+    caller, first = program.caller(), program.servers[0].accept()
+    stand(caller, first)
+    caller.set_up(B)
+    first.receive(Type.SET_UP)  # and no word: another link is opened beside
+    second = program.servers[0].accept()
+    second.send(Type.GROUP_STATE, bytes(8))
+    first.send(Type.ANSWER, B, {Code.DESCRIPTION: b"x"})
+    assert caller.receive().type == Type.ANSWER
+    return caller, first, second
+
+
 def test_a_quiet_server_is_tested_late_and_at_first_on_one_link(tmp_path: Path) -> None:
     """Guards against tests that are few from one proxy and thousands from two hundred."""
     with Program(tmp_path) as program:
-        caller, first = program.caller(), program.servers[0].accept()
-        stand(caller, first)
-        caller.set_up(B)
-        first.receive(Type.SET_UP)  # and no word: another link is opened beside
-        second = program.servers[0].accept()
-        second.send(Type.GROUP_STATE, bytes(8))
-        first.send(Type.ANSWER, B, {Code.DESCRIPTION: b"x"})
-        assert caller.receive().type == Type.ANSWER
+        _, first, second = two_links(program)
         began = time.monotonic()
         links = [first.sock, second.sock]
         assert select.select(links, [], [], 10.0)[0]
@@ -406,14 +412,7 @@
 def test_a_release_lost_with_its_link_is_heard_on_the_next_though_another_is_open(tmp_path: Path) -> None:
     """A server stops in the middle of a call's release; its other link is no reason not to open a third."""
     with Program(tmp_path) as program:
-        caller, first = program.caller(), program.servers[0].accept()
-        stand(caller, first)
-        caller.set_up(B)
-        first.receive(Type.SET_UP)  # and no word: another link is opened beside
-        second = program.servers[0].accept()
-        second.send(Type.GROUP_STATE, bytes(8))
-        first.send(Type.ANSWER, B, {Code.DESCRIPTION: b"x"})
-        assert caller.receive().type == Type.ANSWER
+        caller, first, _ = two_links(program)
         first.sock.sendall(write_release(A, 16)[:7])
         assert first.closed()
         began = time.monotonic()
--- a/tests/overload/test_core.py
+++ b/tests/overload/test_core.py
@@ -16,7 +16,7 @@
     SetUpOffered,
     Stands,
 )
-from martentide.overload.core import ALONE, APART, DEPTH, PURSE, REPEAT_SHARE, WOKEN, Overload
+from martentide.overload.core import ALONE, APART, DEPTH, PURSE, REDIAL, REPEAT_SHARE, WOKEN, Overload
 from martentide.overload.level import PRESSED, Phase
 from martentide.overload.words import END, MOST_SERVERS, Gift, Load, Pressed, read_load, write_load
 
@@ -140,6 +140,9 @@
     for at in range(10, 60):
         play.part.observe(0.0, SetUpOffered(at, "status", None, f"{at % 10}", 3_000.0, -1, False, False))
     assert 0 < play.part.escrow.tokens == earned <= DEPTH
+    later = SetUpOffered(61, "status", None, "1", 3_000.0, -1, False, False)
+    play.part.observe(REDIAL + 1.0, later)  # the number is dialled for something else by then
+    assert play.part.escrow.tokens > earned
 
 
 def test_tokens_go_to_those_that_are_short_and_are_taken_once() -> None:
