Act more strongly on old word in large fleets; clocks that run apart, starved members in scripts

Cause, traced second by second: word is 1.1 s old there when it comes and was faded to 0.6 of itself, so at waits of 1.5 s everywhere the pressure was 0.25 and 0.75 of all was let in; lines ran to 2.4 s, and all that was served was late. Besides, the first answer ever seen of a server counted as one without a line.

Change: the gain on pressure (1 to 4) and the time in which word fades (1.5 to 4 s) grow with the logarithm of the fleet's size between 12 and 200; the time of an answer without a line is taken from all servers until eight answers of one are seen. Fleets of 12 decide as before.

Members' words in a row are kept until one changes. Scripts can starve members in simulated time, where clocks now run apart within the stated drift, and let wall clocks of real processes run apart.

--- a/martentide/fleet/core.py
+++ b/martentide/fleet/core.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import zlib
 from collections import Counter, OrderedDict
@@ -181,6 +182,7 @@
     end: float
 
 
+@functools.lru_cache(4096)
 def bucket(name: Name) -> int:
     return zlib.crc32(name.encode()) % BUCKETS
 
@@ -205,6 +207,7 @@
         self.me = MemberWord(name, 1, life, 1, State.ALIVE, zone, *address)
         self.members: dict[Name, Member] = {}
         self.gone: set[Name] = set()  # the dead and departed among them
+        self.up: tuple[MemberWord, ...] | None = ()  # the words of the others; None: to be read anew
         self.places: dict[Address, Name] = {}  # who was heard of there last
         self.sums = [0] * BUCKETS
         self.past: OrderedDict[Address, None] = OrderedDict()  # of the dead that were forgotten
@@ -249,7 +252,9 @@
 
     def living(self) -> list[MemberWord]:
         """The words of all that are not known to be dead or gone, this one's first."""
-        return [self.me, *(one.word for one in self.members.values() if one.up)]
+        if self.up is None:
+            self.up = tuple(one.word for one in self.members.values() if one.up)
+        return [self.me, *self.up]
 
     def facets_of(self, kind: int, now: float) -> Iterator[tuple[MemberWord, FacetWord, float]]:
         """The facets of that kind that count, the owner's word, and their age."""
@@ -309,6 +314,7 @@
         for member in self.members.values():
             self._remember(member.address)
         self.members.clear()
+        self.up = None
         self.gone.clear()
         self.places.clear()
         self.sums = [0] * BUCKETS
@@ -430,6 +436,7 @@
             if len(member.accusers) < self.terms.accusers:
                 member.accusers.add(by)
                 member.word = word
+                self.up = None
                 self._tell(member)
             return
         member.accusers = {by}
@@ -658,6 +665,7 @@
         if word.generation != member.word.generation and self.places.get(member.address) == word.name:
             del self.places[member.address]
         member.word = word
+        self.up = None
         member.since = self.own
         self.places[member.address] = word.name
         (self.gone.discard if member.up else self.gone.add)(word.name)
@@ -825,6 +833,7 @@
     def _accept_suspicion(self, known: Member, word: MemberWord) -> None:
         by = word.by or "?"
         known.word = msgspec.structs.replace(known.word, incarnation=word.incarnation)
+        self.up = None
         self._accuse(known, by, f"accused by {by}")
 
     def _meet(self, word: MemberWord, by: Name, direct: bool, bulk: bool) -> None:
@@ -835,6 +844,7 @@
             self.counts["no-room"] += 1
             return
         member = self.members[word.name] = Member(word, self.own, self.own)
+        self.up = None
         self.places[member.address] = word.name
         self.order.insert(self.random.randint(0, len(self.order)), word.name)
         self._recount(member)
--- a/martentide/overload/core.py
+++ b/martentide/overload/core.py
@@ -28,7 +28,17 @@
 )
 from martentide.overload.cut import shares
 from martentide.overload.escrow import Escrow
-from martentide.overload.level import PRESSED, STORM_REDIALS, STORM_STOOD, Level, Phase, pressure_of
+from martentide.overload.level import (
+    PRESSED,
+    STORM_REDIALS,
+    STORM_STOOD,
+    SWIFT,
+    SWIFT_MOST,
+    Level,
+    Phase,
+    largeness,
+    pressure_of,
+)
 from martentide.overload.words import (
     END,
     LOAD,
@@ -41,13 +51,13 @@
     read_load,
     write_load,
 )
-from martentide.rules import FULL_HOLD_BACK, LEVELS, LINK_NOISE
+from martentide.rules import FULL_HOLD_BACK, LEVELS, LINK_LAG, LINK_NOISE
 
 WORDS_S = 10.0  # words a second that all members together say while there is pressure
 QUIET_WORDS_S = 0.5  # and in calm
 LEAST_GAP = 400.0  # ms between two words of one member
 URGENT_GAP = 200.0  # ms within which a member tells of new pressure, if nobody else did
-FADE = 1_500.0  # ms in which the share that a server asked for halves
+FADE, FADE_MOST = 1_500.0, 4_000.0  # ms in which the share that a server asked for halves; in large fleets
 OLD = 2_500.0  # ms after which word of a server counts no more
 APART = 0.25  # share by which the newest claim may differ from the next member's
 CLAIMANTS = 4  # whose claims on one server are kept
@@ -75,6 +85,7 @@
     word: bytes | None
 
 
+SEEN_ENOUGH = 8  # answers of a server, after which the shortest tells how long one takes without a line
 PARTS = ("cut", "budget", "late", "word")  # "late": late redials stay out; "word": others' is heard
 
 
@@ -108,7 +119,7 @@
         self.name, self.worths, self.longest, self.tolerable = name, dict(worths), longest, tolerable
         self.without: frozenset[str] = frozenset()  # of PARTS, to measure what each brings
         self.own: dict[str, tuple[float, float]] = {}  # as ``known``, by what this proxy saw itself
-        self.least: dict[str, float] = {}  # shortest time to an answer, by server
+        self.least: dict[str, tuple[float, int]] = {}  # shortest time to an answer, and answers, by server
         self.random = random.Random(seed)
         self.level = Level()
         self.escrow = Escrow(name, life, DEPTH)
@@ -125,7 +136,7 @@
         self.word_of_pressure = -1e9  # when anybody told of pressure last
         self.said: Admission | None = None
         self.wants = 0
-        self.pressure = 0.0
+        self.pressure, self.fade = 0.0, FADE
         self.active = False  # whether words are said as often as under pressure
         self.heard_at: float | None = None
 
@@ -154,8 +165,9 @@
                 self.escrow.earn(REPEAT_SHARE)
             case Stands(server=server, delay=delay):
                 self.stood.add(now)
-                least = self.least[server] = min(delay, self.least.get(server, delay))
-                wait = max(0.0, delay - least * (1.0 + LINK_NOISE))
+                least, seen = self.least.get(server, (delay, 0))
+                self.least[server] = (min(delay, least), seen + 1)
+                wait = max(0.0, delay - self._unpressed(server) * (1.0 + LINK_NOISE))
                 self._saw(server, self._level(wait), now - wait)  # a wait that is over tells of its begin
             case AttemptEnded(server=server, ending=Ending.TIMED_OUT, lag=lag):
                 self._saw(server, self._level(lag), now - lag)
@@ -177,6 +189,12 @@
         if at > self.own.get(server, (0.0, -1e18))[1]:
             self.own[server] = (share, at)
 
+    def _unpressed(self, server: str) -> float:
+        """ms to an answer without a line: the least seen there, or of a server of which little was seen, the
+        least seen anywhere. Else the first answer of a line would be taken for one without."""
+        least, seen = self.least.get(server, (LINK_LAG, 0))
+        return least if seen >= SEEN_ENOUGH else min(one for one, _ in [(least, 0), *self.least.values()])
+
     def _level(self, wait: float) -> float:
         return max((share for bound, share in LEVELS if wait >= bound * self.tolerable), default=0.0)
 
@@ -213,7 +231,13 @@
                 self._hear(now, owner, load, age, servers)
         self._turn(now, turns)
         self._weigh(now, servers)
-        self.pressure = pressure_of(hold * 0.5 ** ((now - at) / FADE) for hold, at in self.known.values())
+        # Where word is old by the time it comes, it is taken for more, and for longer: lines grow meanwhile.
+        large = largeness(len(living))
+        self.level.swift = SWIFT + (SWIFT_MOST - SWIFT) * large
+        self.fade = FADE + (FADE_MOST - FADE) * large
+        self.pressure = pressure_of(
+            hold * 0.5 ** ((now - at) / self.fade) for hold, at in self.known.values()
+        )
         self.level.look(now, self.pressure, self._storm(now))
         if "budget" not in self.without:
             self._budget(now, words, living, purse, events)
--- a/martentide/overload/level.py
+++ b/martentide/overload/level.py
@@ -15,7 +15,11 @@
 from enum import IntEnum
 
 PRESSED = 0.12  # share asked to be held back, below which nothing is shed at once
-SWIFT = 1.0  # in the exponent, for pressure beyond it
+SWIFT, SWIFT_MOST = 1.0, 4.0  # in the exponent, for pressure beyond it; the latter in large fleets
+SMALL, LARGE = (
+    12.0,
+    200.0,
+)  # members up to which, and from which: word gets older in between, and lines grow on
 LASTING = 0.5  # share asked to be held back beyond which the slow part falls, and below which it rises
 SLOW = 0.5  # in the exponent, a second
 RAMP = 0.25  # of everything, a second, at which the slow part rises at most
@@ -43,6 +47,7 @@
     looked: float | None = None
     storms: int = 0
     pressed_at: float = -1e9
+    swift: float = SWIFT
 
     def refrains(self, now: float) -> bool:
         """Whether redials that are late by now stay out: what waits outside after a surge comes in at once
@@ -53,7 +58,7 @@
     def admitted(self) -> float:
         """The share let in, LEAST to 1."""
         over = max(0.0, self.pressure - PRESSED)
-        return max(LEAST, self.lasting * math.exp(-SWIFT * over))
+        return max(LEAST, self.lasting * math.exp(-self.swift * over))
 
     @property
     def phase(self) -> Phase:
@@ -82,6 +87,11 @@
         self.lasting = max(LEAST, min(1.0, self.lasting + step))
 
 
+def largeness(members: int) -> float:
+    """0 for a small fleet to 1 for a large one, by its logarithm, as the time that word takes goes."""
+    return min(1.0, max(0.0, math.log(max(1, members) / SMALL) / math.log(LARGE / SMALL)))
+
+
 def pressure_of(holds: Iterable[float]) -> float:
     """The pressure on the fleet, from the shares that its servers ask to be held back: the mean of those less
     pressed, since a call turned away at one is redrawn among the others."""
--- a/martentide_lab/fleet/invariants.py
+++ b/martentide_lab/fleet/invariants.py
@@ -88,11 +88,11 @@
                 self.last_fault = event.at
             case "killed" | "left":
                 self._ended(event)
-            case "stopped":
+            case "stopped" | "starved":
                 if (one := self.processes.get(event.about)) is not None:
                     one.stopped = event.at
                     self.last_fault = event.at
-            case "continued":
+            case "continued" | "fed":
                 self._continued(event)
             case "fault":
                 self._fault(event)
--- a/martentide_lab/fleet/rig.py
+++ b/martentide_lab/fleet/rig.py
@@ -34,23 +34,30 @@
 CLOCK = "clock-offset"
 SITE = """
 import threading, time
-true, offset = time.time, [0.0]
+true, begin = time.time, time.time()
+def read():
+    ahead, pace = open({path!r}).read().split()
+    return float(ahead), float(pace)
+clock = [read()]
 def follow():
     while True:
         try:
-            offset[0] = float(open({path!r}).read())
+            clock[0] = read()
         except (OSError, ValueError):
             pass
         time.sleep(0.02)
-time.time = lambda: true() + offset[0]
-offset[0] = float(open({path!r}).read())
+def shown():
+    now, (ahead, pace) = true(), clock[0]
+    return now + ahead + (now - begin) * pace
+time.time = shown
 threading.Thread(target=follow, daemon=True).start()
 """
 
 
 def clock_of(folder: Path, ahead: float) -> dict[str, str]:
-    """Environment for a process whose wall clock follows a file, in s ahead of the true one."""
-    (folder / CLOCK).write_text(str(ahead))
+    """Environment for a process whose wall clock follows a file: s ahead of the true one, and s that it gains
+    in each since the start."""
+    (folder / CLOCK).write_text(f"{ahead} 0.0")
     (folder / "sitecustomize.py").write_text(SITE.format(path=str(folder / CLOCK)))
     return {"PYTHONPATH": str(folder)}
 
@@ -85,7 +92,7 @@
         self.script, self.fleet, self.extra, self.seeds, self.load = script, fleet, extra, seeds, load
         self.show, self.clocks = show, dict(clocks or {})
         for step in script.steps:
-            if step.verb == "clock":
+            if step.verb in ("clock", "pace"):
                 self.clocks |= {
                     name: 0.0 for name in split_names(step.arguments[0]) if name not in self.clocks
                 }
@@ -272,9 +279,9 @@
             case "starve" | "feed":
                 for name in names:
                     self._starve(name, step.verb)
-            case "clock":
+            case "clock" | "pace":
                 for name in names:
-                    self.set_clock(name, step.arguments[1])
+                    self.set_clock(name, **{"ahead" if step.verb == "clock" else "pace": step.arguments[1]})
             case "upgrade":
                 await asyncio.gather(*(self.upgrade(name) for name in names))
             case "server":
@@ -301,10 +308,11 @@
                 await self._prepare(name)
             await self._start(name, bears, fleet)
 
-    def set_clock(self, name: str, ahead: float) -> None:
-        """The member's wall clock jumps to so many s ahead; it was named in ``clocks``."""
-        (self.proxies[name].folder / CLOCK).write_text(str(ahead))
-        self.record("clock", name, name, ahead=ahead)
+    def set_clock(self, name: str, ahead: float = 0.0, pace: float = 0.0) -> None:
+        """The member's wall clock jumps to so many s ahead, and gains ``pace`` s in each since its start; it
+        was named in ``clocks``."""
+        (self.proxies[name].folder / CLOCK).write_text(f"{ahead} {pace}")
+        self.record("clock", name, name, ahead=ahead, pace=pace)
 
     async def end(self, name: str, verb: str) -> None:
         proxy = self.proxies.pop(name, None)
--- a/martentide_lab/fleet/search.py
+++ b/martentide_lab/fleet/search.py
@@ -32,7 +32,7 @@
     when = FIRST
     while (when := when + dice.expovariate(1 / 1_500.0)) < until:
         name = dice.choice(names)
-        match dice.randrange(9):
+        match dice.randrange(10):
             case 0:
                 steps.append(Step(when, "kill", (name,)))
             case 1 | 2:
@@ -53,7 +53,15 @@
                 steps.append(Step(when, "loss", (dice.choice([0.0, 0.05, 0.2]),)))
             case 8:
                 steps.append(Step(when, dice.choice(["duplicate", "damage"]), (dice.choice([0.0, 0.1]),)))
-    steps += [Step(until, "heal"), Step(until, "loss", (0.0,)), Step(until, "continue", (",".join(names),))]
+            case 9:
+                steps.append(Step(when, "starve", (name,)))
+                steps.append(Step(min(until, when + dice.choice([900.0, 4_000.0])), "feed", (name,)))
+    steps += [
+        Step(until, "feed", (",".join(names),)),
+        Step(until, "heal"),
+        Step(until, "loss", (0.0,)),
+        Step(until, "continue", (",".join(names),)),
+    ]
     return sorted(steps, key=lambda step: step.at)
 
 
--- a/martentide_lab/fleet/simulated.py
+++ b/martentide_lab/fleet/simulated.py
@@ -32,6 +32,7 @@
 from martentide_lab.fleet.story import Event, Step, split_names
 
 MOST_WAITING = 200  # datagrams that the socket of a stopped process holds
+PACES = (0.0, 0.0004, -0.0004, 0.0002, -0.0001)  # by which members' clocks run apart: within the core's DRIFT
 Address = tuple[str, int]
 
 
@@ -50,10 +51,16 @@
     sent: int = 0  # bytes
     datagrams: int = 0
     lives: int = 0
+    starving: int = 0  # the life that is kept from the processor
+    pace: float = 1.0  # ms of its clock in one of the true ones
     counts: Counter[str] = field(default_factory=Counter)
 
     def clock(self, now: float) -> float:
-        return now + self.offset
+        return now * self.pace + self.offset
+
+    def true(self, own: float) -> float:
+        """The time at which its clock shows that."""
+        return (own - self.offset) / self.pace
 
 
 class SimulatedFleet:
@@ -86,7 +93,8 @@
         for at in range(members):
             address = ("127.0.0.1", 20_000 + at)
             offset = self.dice.uniform(0, 1e7)
-            self.nodes[f"n{at}"] = Node(f"n{at}", f"z{at % zones}", address, offset)
+            pace = 1.0 + PACES[at % len(PACES)]
+            self.nodes[f"n{at}"] = Node(f"n{at}", f"z{at % zones}", address, offset, pace=pace)
             self.at[address] = f"n{at}"
 
     # ---- time -------------------------------------------------------------------------------------------
@@ -131,7 +139,7 @@
         if node.core is not None:
             return
         node.lives += 1
-        node.stopped = False
+        node.stopped, node.starving = False, 0
         node.waiting.clear()
         now = node.clock(self.now)
         node.core = Core(
@@ -155,22 +163,54 @@
 
     def stop(self, name: str) -> None:
         node = self.nodes[name]
+        self.satisfy(name)
         if node.core is not None and not node.stopped:
             node.stopped = True
             self._log("stopped", name, name)
 
     def wake(self, name: str) -> None:
         node = self.nodes[name]
-        if node.core is None or not node.stopped:
+        if node.core is None or not node.stopped or node.starving:
             return
-        node.stopped = False
         self._log("continued", name, name)
+        self._run_on(node)
+
+    def _run_on(self, node: Node) -> None:
+        """The process runs again, with what lay in its socket meanwhile."""
+        node.stopped = False
         waiting, node.waiting = node.waiting, []
         if self.dice.random() < 0.5:  # the loop may turn to its timers or to its sockets first
-            self.feed(name, Due())
+            self.feed(node.name, Due())
         for data in waiting:
-            self._arrive(name, data)
-        self.feed(name, Due())
+            self._arrive(node.name, data)
+        self.feed(node.name, Due())
+
+    def starve(self, name: str) -> None:
+        """Kept from the processor nine tenths of the time, until ``satisfy``."""
+        node = self.nodes[name]
+        if node.core is None or node.stopped or node.starving:
+            return
+        node.starving = node.lives
+        self._log("starved", name, name)
+        self._pause(node, node.lives)
+
+    def satisfy(self, name: str) -> None:
+        node = self.nodes[name]
+        if node.starving:
+            node.starving = 0
+            if node.core is not None:
+                self._run_on(node)
+                self._log("fed", name, name)
+
+    def _pause(self, node: Node, life: int) -> None:
+        if node.starving == life and node.core is not None:
+            node.stopped = True
+            self.later(250.0, lambda: self._breathe(node, life))
+
+    def _breathe(self, node: Node, life: int) -> None:
+        if node.starving == life and node.core is not None:
+            self._run_on(node)
+            self.later(30.0, lambda: self._pause(node, life))
 
     def feed(self, name: str, event: CoreEvent) -> None:
         node = self.nodes[name]
@@ -189,7 +229,7 @@
         core = node.core
         if core is None or core.silent:
             return
-        due = max(self.now, core.due - node.offset) + 0.01  # rounding must not bring it before its time
+        due = max(self.now, node.true(core.due)) + 0.01  # rounding must not bring it before its time
         if node.due <= self.now or due < node.due:
             node.due = due
             self.later(due - self.now, lambda: self._due(node, core, due))
@@ -263,7 +303,7 @@
         """Carry out one step of a script; those that have no meaning here are passed over."""
         one: dict[str, Callable[[str], None]] = {
             "kill": self.kill, "term": self.term, "start": self.start, "stop": self.stop,
-            "continue": self.wake,
+            "continue": self.wake, "starve": self.starve, "feed": self.satisfy,
         }  # fmt: skip
         if step.verb in one:
             for name in split_names(step.arguments[0]):
--- a/martentide_lab/fleet/story.py
+++ b/martentide_lab/fleet/story.py
@@ -35,6 +35,7 @@
     "starve": ("NAMES",),  # kept from the processor nine tenths of the time
     "feed": ("NAMES",),
     "clock": ("NAMES", "S"),  # the wall clock is so many s ahead now
+    "pace": ("NAMES", "SHARE"),  # the wall clock gains so much in a s since the start
     "surge": ("SHARE",),  # times the load
     "surge-at": ("NAMES", "SHARE"),  # at some members only
     "upgrade": ("NAMES",),  # a second process takes over
--- a/tests/extproc/test_services.py
+++ b/tests/extproc/test_services.py
@@ -300,8 +300,15 @@
             finals: Counter[int] = Counter()
             whys: Counter[str] = Counter()
 
+            heard = asyncio.Event()
+
             async def ask() -> None:
                 for start in range(1, count + 1, 250):
+                    # More than all may wait at once only where that is the question: else a slow core would
+                    # answer most of them for want of time.
+                    while pending > count and start - len(routes | finals) > 500:
+                        heard.clear()
+                        await heard.wait()
                     await front.ask(*range(start, start + 250), left=6000)
 
             async def hear() -> None:
@@ -315,6 +322,7 @@
                         # On a slow core also of one that is routed: its time ran out as the cancel came.
                         finals[said.request] += 1
                         whys[said.why] += said.request not in routes
+                    heard.set()
 
             await asyncio.gather(ask(), hear())
             assert {*routes.values(), *finals.values()} == {1} and whys[why] > 5000
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -221,6 +221,7 @@
         rig.set_clock("n1", -3600.0)
         await rig.until(lambda: rig.known_dead("n3"), LIMIT)
         rig.set_clock("n1", 7200.0)
+        await do(rig, "pace", "n2", 9.0)  # and one that runs ten times as fast
         await do(rig, "continue", "n3")
         await rig.until(rig.whole, LIMIT)
         ages = [
--- a/tests/overload/test_core.py
+++ b/tests/overload/test_core.py
@@ -89,6 +89,16 @@
     assert play.part.status(play.now)["alone"] is True
 
 
+def test_the_first_answer_of_a_line_is_not_taken_for_one_without() -> None:
+    part = member()
+    for at, (server, delay) in enumerate([("s0", 20.0), ("s1", 900.0), ("s1", 950.0)]):
+        part.observe(100.0 * at, Stands(at, 0, server, delay))
+    assert part.own["s0"][0] == 0.0 and part.own["s1"][0] > 0.8
+    for at in range(10):  # one that takes so long in calm, as is known after some answers
+        part.observe(1_000.0 + at, Stands(10 + at, 0, "s1", 900.0))
+    assert part.own["s1"][0] == 0.0
+
+
 @pytest.mark.parametrize("lie", [0.0, 1.0])
 def test_a_liar_moves_what_is_held_of_a_server_by_little(lie: float) -> None:
     truth = 0.4
--- a/tests/overload/test_level.py
+++ b/tests/overload/test_level.py
@@ -12,8 +12,11 @@
     PRESSED,
     RAMP,
     REFRAIN,
+    SWIFT,
+    SWIFT_MOST,
     Level,
     Phase,
+    largeness,
     pressure_of,
 )
 
@@ -89,3 +92,16 @@
     assert pressure_of([0.0, 0.0, 0.0, 0.9]) == 0.0  # calls are redrawn among the others
     assert pressure_of([0.5, 0.6, 0.7]) == pytest.approx(0.6)
     assert pressure_of([]) == 0.0
+
+
+@pytest.mark.parametrize(("members", "large"), [(0, 0.0), (1, 0.0), (12, 0.0), (200, 1.0), (5_000, 1.0)])
+def test_how_large_a_fleet_is_held_for(members: int, large: float) -> None:
+    assert largeness(members) == large
+    assert largeness(max(1, members - 1)) <= large <= largeness(members + 1)
+
+
+def test_a_large_fleet_sheds_more_for_the_same_word_and_as_soon_lets_all_in_again() -> None:
+    small, large = Level(swift=SWIFT), Level(swift=SWIFT_MOST)
+    pressures = [0.4] * 8 + [0.0] * 12
+    one, other = play(small, pressures), play(large, pressures)
+    assert other[7] < one[7] < 1.0 and one[-1] == other[-1] == 1.0
