--- a/martentide/overload/core.py
+++ b/martentide/overload/core.py
@@ -76,7 +76,7 @@
 MOST_HEARD = 4_096  # members whose last word is remembered
 ALONE = 10_000.0  # ms without anybody's word: in calm each member says one only now and then
 WOKEN = 2_000.0  # ms between two looks that show that the process stood still
-RETURN_FROM = 0.6  # of the longest advice: callers come back between it and the whole, at random
+RETURN_FROM = 0.2  # of the longest advice: callers come back between it and the whole, at random
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/agreement/test_ruleset.py
@@ -0,0 +1,132 @@
+"""What contradicts what, and what both allow: a table, and properties."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from martentide.agreement.ruleset import (
+    RuleError,
+    RuleSet,
+    contradictions,
+    meet,
+    read_rules,
+    rules_from,
+    write_rules,
+)
+
+BASE: dict[str, Any] = {
+    "attempts": 3,
+    "classes": {"sign": {"repeat": "keyed", "deadline_ms": 6000, "pools": [1, 2]}},
+    "tenants": {"portal": 50},
+    "cold_share": 0.3,
+    "servers": {"s-1@0": "ready"},
+}
+
+
+def changed(path: str, value: Any) -> dict[str, Any]:
+    """BASE with one entry other; None takes it out."""
+    copy = {name: dict(one) if isinstance(one, dict) else one for name, one in BASE.items()}
+    copy["classes"] = {name: dict(one) for name, one in copy["classes"].items()}
+    *way, last = path.split("/")
+    table = copy
+    for name in way:
+        table = table[name]
+    if value is None:
+        del table[last]
+    else:
+        table[last] = value
+    return copy
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "word"),
+    [
+        ("classes/sign/repeat", "once-only", "repeats what the other must not"),
+        ("attempts", 1, "makes more than"),
+        ("classes/sign/deadline_ms", 5000, "for longer"),
+        ("classes/sign/pools", [2, 3], "a pool"),
+        ("classes/other", {"repeat": "keyed", "deadline_ms": 9, "pools": None}, ""),
+        ("tenants/portal", 40, "add up to more"),
+        ("tenants/portal", None, "add up to more"),
+        ("tenants/other", 5, "add up to more"),
+        ("cold_share", 0.2, "cold server"),
+        ("servers/s-1@0", "draining", "gone or draining"),
+        ("servers/s-1@0", None, ""),
+        ("servers/s-1@77", "ready", ""),  # another life of it
+        ("servers/s-1@77", "gone", "gone or draining"),
+    ],
+)
+def test_what_contradicts_what(path: str, value: Any, word: str) -> None:
+    one, other = rules_from(BASE, "a"), rules_from(changed(path, value), "b")
+    found = contradictions(one, other)
+    assert bool(found) == bool(word) and all(word in reason for reason in found), found
+    both = meet(one, other)
+    assert not contradictions(both, one) and not contradictions(both, other)
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "word"),
+    [
+        ("classes/sign/repeat", "often", "repeat: expected one of harmless, keyed, once-only, found 'often'"),
+        ("attempts", 1.5, "expected a whole number"),
+        ("attempts", 0, "expected a number from 1 to 100, found 0"),
+        ("classes/sign/pools", [-1], "list of place numbers"),
+        ("classes/sign/worth", 2, "classes/sign: worth: expected one of"),
+        ("tenants/portal", "many", "tenants/portal: expected a number"),
+        ("servers/s-1", "ready", "expected ID@START"),
+        ("servers/s-1@0", "well", "expected one of ready, draining, gone, found 'well'"),
+        ("cold_share", 2, "cold_share: expected a number from 0 to 1, found 2"),
+    ],
+)
+def test_a_bad_file_is_turned_down_with_key_found_and_expected(path: str, value: Any, word: str) -> None:
+    with pytest.raises(RuleError, match=word.replace("[", r"\[")):
+        rules_from(changed(path, value), "f.json")
+
+
+CLASS = st.fixed_dictionaries(
+    {
+        "repeat": st.sampled_from(["harmless", "keyed", "once-only"]),
+        "deadline_ms": st.sampled_from([1000, 2000]),
+        "pools": st.none() | st.lists(st.integers(0, 3), max_size=3),
+    }
+)
+SETS = st.fixed_dictionaries(
+    {
+        "attempts": st.integers(1, 4),
+        "classes": st.dictionaries(st.sampled_from("ab"), CLASS, max_size=2),
+        "tenants": st.dictionaries(st.sampled_from("xy"), st.integers(0, 3), max_size=2),
+        "cold_share": st.sampled_from([0.2, 0.5]),
+        "servers": st.dictionaries(
+            st.sampled_from(["p@0", "p@5", "q@0"]), st.sampled_from(["ready", "draining", "gone"]), max_size=3
+        ),
+    }
+).map(lambda data: rules_from(data, "x"))
+
+
+@settings(max_examples=300, deadline=None)
+@given(SETS, SETS, SETS)
+def test_meet_is_a_meet(one: RuleSet, other: RuleSet, third: RuleSet) -> None:
+    both = meet(one, other)
+    assert both == meet(other, one)
+    assert meet(both, third) == meet(one, meet(other, third))
+    assert meet(one, one) == meet(meet(one, one), one)
+    assert meet(both, both) == both == meet(both, one)
+    assert not contradictions(both, one) and not contradictions(both, other)
+    assert contradictions(one, other) == [] or contradictions(other, one) != []
+    assert read_rules(write_rules(both)) == both
+
+
+@settings(max_examples=200, deadline=None)
+@given(SETS, SETS)
+def test_nothing_that_one_forbids_is_allowed_by_meet(one: RuleSet, other: RuleSet) -> None:
+    both = meet(one, other)
+    for name, rule in both.classes.items():
+        for mine in (one.classes.get(name), other.classes.get(name)):
+            assert rule.repeat.lo <= (0.0 if mine is None else mine.repeat.lo)
+    for name, state in both.servers.items():
+        for held in (one.servers.get(name), other.servers.get(name)):
+            assert state.lo <= (2.0 if held is None else held.lo)
