Versions that the fleet agrees on: from proposal to force on real processes, with books on disk

Need: two proxies act on rules that contradict each other for as long as one was cut off or its file turned down.

Change: words of agreement travel as the fleet's datagrams (cut into parts of 900 bytes); a voter's books go to disk in a thread by the file discipline of learned state, and what rests on them is said only after; a member asks for a lease three times within it, and looks at it again right before each item that the decisions hear; without one it acts by safe rules (one attempt, no repeats, no cold servers, servers that answered it within 1 s). A version reaches the decisions as settings and list entries, the stricter of it and the own: policy is untouched. 'fleet propose' and 'fleet versions', a rules file at SIGHUP, the node 'agreement' in the extras file (off without it).

Measured on 5 real processes: a server taken away gets nothing new 2 s after; a leader killed at three moments of a change, a member cut off, a split with a minority of voters, a stop of 5 s, a disk emptied, all killed at once.

--- a/martentide/agreement/words.py
+++ b/martentide/agreement/words.py
@@ -10,8 +10,9 @@
 
 
 class Version(msgspec.Struct, array_like=True, frozen=True):
-    """``number`` is no other version's, also not a dropped one's; ``base``: that of the one it builds on; ``rules`` as ``write_rules`` has them; ``by`` and
-    ``why`` are for people; ``request`` is who asked for it and a number of theirs."""
+    """``number`` is no other version's, also not a dropped one's; ``base``: that of the one it builds on;
+    ``rules`` as ``write_rules`` has them; ``by`` and ``why`` are for people; ``request`` is who asked for it
+    and a number of theirs."""
 
     number: int
     base: int
@@ -38,8 +39,8 @@
 
 
 class Books(msgspec.Struct, array_like=True, frozen=True):
-    """What the log says, all told: the state in a snapshot. ``index`` of the last entry in it; ``last``: the highest number that any
-    version had, since a dropped one's must not be borne by another; ``past``:
+    """What the log says, all told: the state in a snapshot. ``index`` of the last entry in it; ``last``: the
+    highest number that any version had, since a dropped one's must not be borne by another; ``past``:
     number, who, why, and what became of the last versions."""
 
     index: int
--- a/martentide/cli.py
+++ b/martentide/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import sys
@@ -151,6 +152,62 @@
     click.echo(status if as_json else table(status))
 
 
+OPERATOR = click.option(
+    "--operator", metavar="HOST:PORT", envvar="PROXY_OPERATOR", required=True,
+    help="where the proxy's operator's calls come in; default: $PROXY_OPERATOR",
+)  # fmt: skip
+
+
+@fleet.command(
+    "versions", help="The version of rules in force, the one being brought into force, and the last ones."
+)
+@OPERATOR
+@click.option("--json", "as_json", is_flag=True, help="as JSON")
+def fleet_versions(operator: str, as_json: bool) -> None:
+    from martentide.lifecycle.calls import VERSIONS
+    from martentide.net.fleet.show import AskError, ask, versions
+
+    try:
+        status = ask(operator, VERSIONS)
+    except AskError as error:
+        click.echo(f"martentide: {operator}: {error}", err=True)
+        sys.exit(CANNOT_LISTEN)
+    click.echo(status if as_json else versions(status))
+
+
+@fleet.command(
+    "propose", help="Propose the rules in FILE as the next version, and wait until it is in force."
+)
+@click.argument("file")
+@OPERATOR
+@click.option("--base", default=-1, help="the version that it builds on; default: whatever is in force")
+@click.option("--by", default="", help="who proposes it")
+@click.option("--why", default="", help="what for")
+@click.option("--patience", default=20.0, show_default=True, help="s to wait for its verdict")
+def fleet_propose(file: str, operator: str, base: int, by: str, why: str, patience: float) -> None:
+    """0: in force; 2: the file can't be used; 3: turned down, or nothing is known of it."""
+    from martentide.agreement.ruleset import RuleError, rules_from
+    from martentide.net.fleet.show import AskError, propose
+
+    try:
+        with open(file, "rb") as opened:
+            rules = json.load(opened)
+        rules_from(rules, file)
+    except (OSError, ValueError, RuleError) as error:
+        click.echo(
+            f"martentide: {file}: {error}" if file not in str(error) else f"martentide: {error}", err=True
+        )
+        sys.exit(BAD_CONFIG)
+    said = {"rules": rules, "file": file, "base": base, "by": by or os.environ.get("USER", ""), "why": why}
+    try:
+        verdict = propose(operator, said, patience)
+    except AskError as error:
+        click.echo(f"martentide: {operator}: {error}", err=True)
+        sys.exit(REFUSED)
+    click.echo(verdict["text"])
+    sys.exit(0 if verdict["done"] else REFUSED)
+
+
 def load_or_exit(config: str | None, extras: str | None) -> Config:
     try:
         return load_config(os.environ, config, extras)
--- a/martentide/codec/control.py
+++ b/martentide/codec/control.py
@@ -7,10 +7,10 @@
 
 import h11
 
-from martentide.lifecycle.calls import METHODS
+from martentide.lifecycle.calls import METHODS, MOST_BODIES
 
 MOST_HEAD = 8 * 1024  # bytes of request line and headers
-MOST_BODY = 4 * 1024  # bytes of a body, which means nothing here
+MOST_BODY = 4 * 1024  # bytes of a body, where it means nothing
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,6 +18,7 @@
     """A call that can be carried out: one of the paths above."""
 
     path: str
+    body: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +36,7 @@
     def __init__(self) -> None:
         self.connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         self.request: h11.Request | None = None
-        self.body = 0
+        self.body = bytearray()
 
     def feed(self, data: bytes) -> Request | Refused | None:
         """What the bytes up to now amount to, None while the call is not whole; no data: the end came."""
@@ -51,12 +52,12 @@
             match event:
                 case h11.Request():
                     self.request = event
-                    if self.connection.they_are_waiting_for_100_continue:
+                    if self.connection.they_are_waiting_for_100_continue and self._most() == MOST_BODY:
                         return self._route(event)  # the final answer spares the body
                 case h11.Data():
-                    self.body += len(event.data)
-                    if self.body > MOST_BODY:
-                        return Refused(413, f"a body of more than {MOST_BODY} bytes")
+                    self.body += event.data
+                    if len(self.body) > (most := self._most()):
+                        return Refused(413, f"a body of more than {most} bytes")
                 case h11.EndOfMessage() if self.request is not None:
                     return self._route(self.request)
                 case h11.ConnectionClosed():
@@ -64,6 +65,10 @@
                 case _:
                     return None
 
+    def _most(self) -> int:
+        target = b"" if self.request is None else self.request.target
+        return MOST_BODIES.get(target.decode("ascii", "replace"), MOST_BODY)
+
     def _route(self, request: h11.Request) -> Request | Refused:
         try:
             path = urlsplit(request.target.decode("ascii")).path
@@ -74,7 +79,7 @@
             return Refused(404, f"no such call; there are {', '.join(METHODS)}")
         if method not in METHODS[path]:
             return Refused(405, f"{path} takes {' or '.join(METHODS[path])}", METHODS[path])
-        return Request(path)
+        return Request(path, bytes(self.body))
 
     def answer(self, status: int, text: str, allow: tuple[str, ...] = ()) -> bytes:
         """The whole answer, after which the connection is closed."""
--- a/martentide/extras.py
+++ b/martentide/extras.py
@@ -161,6 +161,16 @@
     most_members: Annotated[int, msgspec.Meta(ge=2, le=2_048)] = 2_048
 
 
+class AgreementPart(msgspec.Struct, frozen=True):
+    """Versions of rules that the fleet agrees on; ``voters`` by the proxies' names. Without a folder a voter
+    that ends has lost its books."""
+
+    voters: tuple[str, ...]
+    bound_ms: float = 2_000.0
+    folder: str = ""
+    rules: str = ""  # a file that is proposed at SIGHUP where it differs from what is in force
+
+
 class Fleet(msgspec.Struct, frozen=True):
     """Proxies that know each other; ``advertise``: the address that others are told, where it is another."""
 
@@ -171,6 +181,7 @@
     seeds: tuple[tuple[str, int], ...] = ()
     secret: str = ""
     overload: bool = False  # handled together with the other members
+    agreement: AgreementPart | None = None
     times: TimesOfFleet = TimesOfFleet()
     limits: LimitsOfFleet = LimitsOfFleet()
 
@@ -349,10 +360,12 @@
             values["seeds"] = tuple(_dotted(one, here) for one in child.args)
         elif child.name == "overload":
             values["overload"] = _one(child, bool, "#true or #false", here)
+        elif child.name == "agreement":
+            values["agreement"] = _agreement(child, here)
         elif child.name in parts:
             values[child.name] = _part(child, parts[child.name], here)
         else:
-            known = [*texts, *addresses, "seeds", "overload", *parts]
+            known = [*texts, *addresses, "seeds", "overload", "agreement", *parts]
             raise ExtrasError(f"{here}: unknown node{_nearest(child.name, known)}")
     for name in ("name", "listen"):
         if name not in values:
@@ -366,6 +379,32 @@
     return fleet
 
 
+def _agreement(node: ckdl.Node, where: str) -> AgreementPart:
+    values: dict[str, Any] = {}
+    for child, here in _children(node, where):
+        if child.name == "voters":
+            names = child.args
+            if child.properties or child.children or not all(type(one) is str and one for one in names):
+                raise ExtrasError(f"{here}: expected names of proxies, found {list(names)!r}")
+            if len(set(names)) != len(names) or len(names) not in (1, 3, 5):
+                raise ExtrasError(f"{here}: expected 1, 3 or 5 different names, found {list(names)!r}")
+            values["voters"] = tuple(names)
+        elif child.name in ("folder", "rules"):
+            values[child.name] = _one(child, str, "a path", here)
+        elif child.name == "bound-ms":
+            if len(child.args) != 1 or type(child.args[0]) not in (int, float):
+                raise ExtrasError(f"{here}: expected ms, found {list(child.args)!r}")
+            values["bound_ms"] = float(child.args[0])
+            if not 500 <= values["bound_ms"] <= 60_000:
+                raise ExtrasError(f"{here}: expected 500 to 60000, found {child.args[0]}")
+        else:
+            known = ["voters", "bound-ms", "folder", "rules"]
+            raise ExtrasError(f"{here}: unknown node{_nearest(child.name, known)}")
+    if "voters" not in values:
+        raise ExtrasError(f"{where}: expected a node voters, found none")
+    return AgreementPart(**values)
+
+
 TOP: dict[str, Callable[[ckdl.Node, str], Any]] = {
     "external-processor": _external_processor,
     "learned-state": _learned_state,
--- a/martentide/fleet/core.py
+++ b/martentide/fleet/core.py
@@ -75,7 +75,15 @@
     """The process ends: the others are told."""
 
 
-Event = Heard | Due | Publish | Depart
+@dataclass(frozen=True, slots=True)
+class Carry:
+    """A word of another part for one member, whatever its state; lost where it is not known."""
+
+    to: Name
+    body: bytes
+
+
+Event = Heard | Due | Publish | Depart | Carry
 
 # ---- actions --------------------------------------------------------------------------------------------
 
@@ -118,7 +126,15 @@
     span: float
 
 
-Action = Send | Changed | Learned | Displaced | Late
+@dataclass(frozen=True, slots=True)
+class Carried:
+    """A word for another part of this process."""
+
+    sender: MemberWord
+    body: bytes
+
+
+Action = Send | Changed | Learned | Displaced | Late | Carried
 
 
 @dataclass(slots=True)
@@ -280,6 +296,9 @@
                 self._publish(event)
             case Depart():
                 self._depart()
+            case Carry(to, body):
+                if not self.departing and (one := self.members.get(to)) is not None:
+                    self._send_to(one.address, Kind.CARRY, one.word.life, member=one, news=False, body=body)
             case Due():
                 pass
         self._run()
@@ -496,7 +515,9 @@
                 del member.facets[kind]
             if old:
                 self._recount(member)
-        for name in [name for name in sorted(self.gone) if own - self.members[name].since >= self.terms.kept_dead]:
+        for name in [
+            name for name in sorted(self.gone) if own - self.members[name].since >= self.terms.kept_dead
+        ]:
             self.gone.discard(name)
             member = self.members.pop(name)
             if self.places.get(member.address) == name:
@@ -560,6 +581,7 @@
         digest: list[int] | None = None,
         buckets: list[int] | None = None,
         held: list[Held] | None = None,
+        body: bytes = b"",
     ) -> None:
         echo = kept = -1
         if member is not None and member.stamp >= 0 and member.stamp_life == life:
@@ -571,7 +593,7 @@
             self._fill(words, facets, left)
         datagram = Datagram(
             kind, self.me, life, int(self.now), echo, max(0, kept), probe, target, words, facets,
-            digest or [], buckets or [], held or [],
+            digest or [], buckets or [], held or [], body,
         )  # fmt: skip
         self.actions.append(Send(address, datagram))
 
@@ -737,6 +759,8 @@
                 self._compare(said, member)
             case Kind.VERSIONS:
                 self._exchange(said, member)
+            case Kind.CARRY if said.to == self.me.life and not back:
+                self.actions.append(Carried(member.word, said.body))
         if back:
             address = (said.sender.host, said.sender.port)
             self._send_to(address, Kind.NEWS, said.sender.life, 0, "", back, news=False)
--- a/martentide/fleet/wire.py
+++ b/martentide/fleet/wire.py
@@ -57,6 +57,7 @@
     DIGEST = 6  # sums of all that I know, bucket by bucket
     VERSIONS = 7  # what I hold of the buckets that differ; send what I lack
     LACKING = 8  # what you lack by a comparison: none of it is news
+    CARRY = 9  # ``body`` is for another part of the process; nothing of it is spread
 
 
 Name = str
@@ -127,6 +128,7 @@
     digest: list[int] = []
     buckets: list[int] = []
     held: list[Held] = []
+    body: bytes = b""
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/martentide/lifecycle/calls.py
+++ b/martentide/lifecycle/calls.py
@@ -1,5 +1,9 @@
 """The operator's calls by their paths; apart from their parser, which needs h11."""
 
 READY, OUT_OF_SERVICE, IN_SERVICE = "/control/ready", "/control/out-of-service", "/control/in-service"
-FLEET = "/control/fleet"
-METHODS = {READY: ("GET", "HEAD"), OUT_OF_SERVICE: ("POST",), IN_SERVICE: ("POST",), FLEET: ("GET",)}
+FLEET, VERSIONS, PROPOSE = "/control/fleet", "/control/fleet/versions", "/control/fleet/propose"
+METHODS = {
+    READY: ("GET", "HEAD"), OUT_OF_SERVICE: ("POST",), IN_SERVICE: ("POST",), FLEET: ("GET",),
+    VERSIONS: ("GET",), PROPOSE: ("POST",),
+}  # fmt: skip
+MOST_BODIES = {PROPOSE: 48 * 1024}  # bytes of a body that means something
--- a/martentide/net/control.py
+++ b/martentide/net/control.py
@@ -19,11 +19,11 @@
 WAITING = 256  # connections that wait in the system to be accepted
 AT_ONCE = 4096  # bytes read at a time
 
-Ask = Callable[[str], Awaitable[tuple[int, str]]]
+Ask = Callable[[str, bytes], Awaitable[tuple[int, str]]]
 
 
 class Control:
-    """``ask`` carries a call out, named by its path, and gives its status and text."""
+    """``ask`` carries a call out, named by its path, with its body, and gives its status and text."""
 
     def __init__(self, ask: Ask, most: int) -> None:
         self.ask, self.most = ask, most
@@ -93,7 +93,7 @@
             said = Refused(408, f"the call was not whole within {CALL_LIMIT:g} s")
         self.unfinished.pop(task, None)
         if isinstance(said, Request):
-            status, text = await self.ask(said.path)
+            status, text = await self.ask(said.path, said.body)
             writer.write(call.answer(status, text))
         else:
             writer.write(call.answer(said.status, said.text, said.allow))
--- a/martentide/net/decider.py
+++ b/martentide/net/decider.py
@@ -12,7 +12,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from martentide.carriage import Ended, Order, Stood, Withdraw
 from martentide.codec.board import Listed, Notice
@@ -34,6 +34,7 @@
     Refuse,
     RepeatBudget,
     SendSetUp,
+    ServerEntry,
     ServerList,
     ServerState,
     SetTimer,
@@ -48,6 +49,9 @@
 from martentide.net.links import unix_ms
 from martentide.rules import Controller
 
+if TYPE_CHECKING:
+    from martentide.agreement.overlay import InForce
+
 MOST_STANDING = 50_000  # calls that stand at once, before new ones are refused
 REMEMBERED_IDS = 4096  # ids answered lately: one that comes again is no new call
 AT_A_TIME = 64  # items taken before the rest of the program has its turn
@@ -186,6 +190,10 @@
         self.servers: dict[str, ServerActor] = {}
         self.watchers: list[Callable[[tuple[Listed, ...]], None]] = []
         self.heard: list[Callable[[float, Event], None]] = []  # told of each event once it was decided on
+        self.own_settings = controller.settings  # without what the fleet agreed on
+        self.in_force: InForce | None = None  # what the fleet agreed on, where it agrees on anything
+        self.before: Callable[[], None] | None = None  # called before each item: whether that still holds
+        self.answered_by: dict[str, float] = {}  # server's last answer, by the loop's clock in s
         self.closing = False
         self.idle = asyncio.Event()
         self.idle.set()
@@ -211,6 +219,8 @@
                 self.idle.set()
 
     def _take(self, item: Item) -> None:
+        if self.before is not None:
+            self.before()
         match item:
             case Offer():
                 self._offer(item)
@@ -228,7 +238,8 @@
                 self.max_open = max_open
                 for server in self.servers.values():
                     server.post(item)
-                self._feed(SettingsChanged(settings))
+                self.own_settings = settings
+                self._feed(SettingsChanged(self._under(settings)))
             case _:
                 self._feed(item)
 
@@ -236,6 +247,35 @@
         """Tell the decisions at once: for the start, before the mailbox is read."""
         self._feed(event)
 
+    def act_by(self, in_force: InForce) -> None:
+        """From now on, at once: what is offered is decided under it; calls offered before keep their
+        terms."""
+        settings = self._under(self.own_settings)
+        self.in_force = in_force
+        if (under := self._under(self.own_settings)) != settings:
+            self._feed(SettingsChanged(under))
+        self.list_again()
+
+    def list_again(self) -> None:
+        """Tell the decisions of servers that are another way than what they hold, by what is in force."""
+        held = self.controller.servers
+        entries = self._entries(tuple(listed.entry for listed in self.listed.values()))
+        changed = tuple(one for one in entries if one.name in held and held[one.name].entry != one)
+        if changed:
+            self._feed(ServerList(ListKind.CHANGES, changed))
+
+    def _under(self, settings: Settings) -> Settings:
+        return settings if self.in_force is None else self.in_force.settings(settings)
+
+    def _entries(self, entries: tuple[ServerEntry, ...]) -> tuple[ServerEntry, ...]:
+        if self.in_force is None:
+            return entries
+        from martentide.agreement.overlay import ANSWERED
+
+        now = self.loop.time()
+        answered = {name for name, at in self.answered_by.items() if (now - at) * 1000.0 <= ANSWERED}
+        return self.in_force.entries(entries, answered)
+
     def _clock(self) -> float:
         """Unix time in ms that never runs backwards for the decisions."""
         self.now = max(self.now, unix_ms())
@@ -448,7 +488,7 @@
         for watcher in self.watchers:
             watcher(tuple(changed.values()))
         kind = kind or (ListKind.WHOLE if notice.whole else ListKind.CHANGES)
-        self._feed(ServerList(kind, tuple(listed.entry for listed in notice.servers)))
+        self._feed(ServerList(kind, self._entries(tuple(listed.entry for listed in notice.servers))))
 
 
 def gone(listed: Listed) -> Listed:
--- a/martentide/net/fleet/member.py
+++ b/martentide/net/fleet/member.py
@@ -17,6 +17,8 @@
 from martentide.fleet.core import (
     Action,
     Address,
+    Carried,
+    Carry,
     Changed,
     Core,
     Depart,
@@ -41,6 +43,7 @@
 
 if TYPE_CHECKING:
     from martentide.extras import Fleet as FleetPart
+    from martentide.net.fleet.agreed import Agreed
 
 MOST_WAITING = 512  # items in the mailbox; more is dropped, as a full socket buffer would
 AT_A_TIME = 32  # items taken before the rest of the program has its turn
@@ -99,6 +102,7 @@
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.looking: asyncio.TimerHandle | None = None
+        self.agreed: Agreed | None = None
         self.lives = 0
         self.wanted = False
         decider.heard.append(self._overhear)
@@ -153,6 +157,14 @@
             "fleet-joining", fleet=self.part.name, address=f"{own[0]}:{own[1]}",
             advertise=f"{address[0]}:{address[1]}", life=self.core.me.life, zone=self.part.zone,
         )  # fmt: skip
+        if self.part.agreement is not None:
+            from martentide.net.fleet.agreed import Agreed
+
+            self.agreed = Agreed(self.part.agreement, self.name, self.decider, self._carry)
+            await self.agreed.begin(self.core.me.life, seed)
+            if self.core is None:
+                self.agreed.end()
+                return  # retired while it read its books
         self._arm()
         self.looking = self.loop.call_later(LOOK / 1000.0, self._post_look)
 
@@ -164,6 +176,8 @@
                 timer.cancel()
         if self.transport is not None:
             self.transport.close()
+        if self.agreed is not None:
+            self.agreed.end()
         if self.core is not None:
             log_event("fleet-retired")
         if self.overload is not None:
@@ -286,6 +300,9 @@
                 )  # fmt: skip
             case Learned():
                 self.counts["facets"] += 1
+            case Carried(sender, body):
+                if self.agreed is not None:
+                    self.agreed.heard(sender.name, body)
             case Displaced(by):
                 LOG.error(
                     "fleet-displaced", member=by.name, address=f"{by.host}:{by.port}", life=by.life,
@@ -295,6 +312,17 @@
                 self.counts["late"] += 1
                 log_event("fleet-late", ms=round(span))
 
+    def hang_up(self) -> None:
+        """SIGHUP: rules that the extras file names are proposed."""
+        if self.agreed is not None:
+            self.agreed.propose_file()
+
+    def _carry(self, to: str, body: bytes) -> None:
+        """A part of a word of agreement, for one member."""
+        if self.core is not None:
+            self._feed(Carry(to, body))
+            self._arm()
+
     # ---- duty of testing --------------------------------------------------------------------------------
 
     def _overhear(self, at: float, event: Event) -> None:
--- a/martentide/net/fleet/show.py
+++ b/martentide/net/fleet/show.py
@@ -4,9 +4,10 @@
 
 import http.client
 import json
+import time
 from typing import Any
 
-from martentide.lifecycle.calls import FLEET
+from martentide.lifecycle.calls import FLEET, PROPOSE, VERSIONS
 
 LIMIT = 3.0  # s
 
@@ -15,25 +16,54 @@
     """The proxy can't be asked, or is no member; the text is one line."""
 
 
-def ask(operator: str) -> str:
-    """The status of the proxy whose operator's calls come in there, as JSON; raises AskError."""
+def ask(operator: str, path: str = FLEET, body: bytes | None = None) -> str:
+    """What the proxy whose operator's calls come in there says to that call: its status as JSON, where none
+    is named. Raises AskError."""
     host, colon, port = operator.rpartition(":")
     if not colon or not host or not port.isdecimal():
         raise AskError("expected HOST:PORT")
     connection = http.client.HTTPConnection(host, int(port), timeout=LIMIT)
     try:
-        connection.request("GET", FLEET)
+        connection.request("GET" if body is None else "POST", path, body)
         answer = connection.getresponse()
         text = answer.read().decode()
     except (OSError, http.client.HTTPException) as error:
         raise AskError(str(error) or type(error).__name__) from None
     finally:
         connection.close()
-    if answer.status != 200:
+    if answer.status not in (200, 202):
         raise AskError(text.strip())
     return text.strip()
 
 
+def propose(operator: str, said: dict[str, Any], patience: float) -> dict[str, Any]:
+    """Propose a version there and wait for its verdict, for so many s; raises AskError."""
+    number = ask(operator, PROPOSE, json.dumps(said).encode())
+    end = time.monotonic() + patience
+    while time.monotonic() < end:
+        verdict: dict[str, Any] | None = json.loads(ask(operator, VERSIONS))["verdicts"].get(number)
+        if verdict is not None:
+            return verdict
+        time.sleep(0.1)
+    raise AskError(f"nothing is known of it after {patience:g} s")
+
+
+def versions(status: str) -> str:
+    """A table of what ``VERSIONS`` tells."""
+    said: dict[str, Any] = json.loads(status)
+    role = "leads" if said["leads"] else "votes" if said["votes"] else "learns"
+    lines = [
+        f"{said['name']} {role}; leader {said['leader'] or 'unknown'}; acts by {said['acts']}, "
+        f"lease for {said['lease_ms']} ms",
+        f"in force: version {said['version']} by {said['by'] or '-'}: {said['why']}",
+    ]
+    if said["joint"] is not None:
+        refused = f", refused here: {said['refused']}" if said["refused"] else ""
+        lines.append(f"being brought into force: version {said['joint']}{refused}")
+    lines += [f"{number:>6}  {by:<16} {why}: {end}" for number, by, why, end in reversed(said["past"])]
+    return "\n".join(lines)
+
+
 def table(status: str) -> str:
     said: dict[str, Any] = json.loads(status)
     own = f"{said['name']} in fleet {said['fleet']}: {said['state']}"
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -27,7 +27,7 @@
 )
 from martentide.interface import ColdShare, Ending, ListKind, ProbeEnded, ServerState, Settings
 from martentide.lifecycle import machine
-from martentide.lifecycle.calls import FLEET, OUT_OF_SERVICE, READY
+from martentide.lifecycle.calls import FLEET, OUT_OF_SERVICE, PROPOSE, READY, VERSIONS
 from martentide.lifecycle.machine import Machine
 from martentide.net.board import Board, Moved
 from martentide.net.callers import Callers
@@ -89,6 +89,7 @@
     board: Board,
     processor: ExternalProcessorServer | None = None,
     store: Store | None = None,
+    member: Member | None = None,
 ) -> Config:
     """SIGHUP: the configuration that holds from now on; a bad file changes nothing."""
     try:
@@ -131,6 +132,8 @@
         classes=",".join(kind.name for kind in settings.classes),
         restart_needed_for=",".join(kept) or "nothing",
     )
+    if member is not None:
+        member.hang_up()
     if new.board != config.board:
         board.post(Moved(new.board))
     held = {key: getattr(config, key) for key in (*fixed, "seed", "known", "known_number")}
@@ -173,12 +176,16 @@
     def post(self, event: machine.Event) -> None:
         self.mailbox.put_nowait(event)
 
-    async def ask(self, path: str) -> tuple[int, str]:
+    async def ask(self, path: str, body: bytes) -> tuple[int, str]:
         """The operator's call of that path: its status and text."""
         if path == READY:
             return (200, "ready") if self.machine.ready else (503, self.machine.phase.value)
         if path == FLEET:
             return (200, self.member.status()) if self.member is not None else (404, "no fleet is set")
+        if path in (VERSIONS, PROPOSE):
+            if self.member is None or self.member.agreed is None:
+                return 404, "no agreement is set"
+            return self.member.agreed.ask(path, body)
         number = next(self.numbers)
         answer: asyncio.Future[tuple[int, str]] = self.loop.create_future()
         self.asked[number] = answer
@@ -217,7 +224,7 @@
                 self.over = self.loop.create_task(self._tell_when_over(), name="all over")
             case machine.Reload():
                 self.config = reload(
-                    self.config, self.read, self.decider, self.board, self.processor, self.store
+                    self.config, self.read, self.decider, self.board, self.processor, self.store, self.member
                 )
             case machine.CloseFronts():
                 if self.processor is not None:
--- a/martentide_lab/fleet/agreeing.py
+++ b/martentide_lab/fleet/agreeing.py
@@ -3,10 +3,11 @@
 
 from __future__ import annotations
 
+import functools
 import itertools
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from martentide.agreement.core import (
     Act,
@@ -30,7 +31,7 @@
 from martentide.agreement.words import write
 from martentide_lab.fleet.faults import Link
 from martentide_lab.fleet.search import random_steps
-from martentide_lab.fleet.simulated import SimulatedFleet
+from martentide_lab.fleet.simulated import Node, SimulatedFleet
 from martentide_lab.fleet.story import Step
 
 
@@ -54,12 +55,9 @@
     at: float
 
 
-@dataclass
 class AgreeingFleet(SimulatedFleet):
     """Each member has an agreement core beside the fleet's; the first ``voters`` vote."""
 
-    agreements: dict[str, Agreement] = field(default_factory=dict)
-
     def __init__(
         self,
         members: int,
@@ -113,7 +111,7 @@
         super().term(name)
         self.agreements.pop(name, None)
 
-    def _run_on(self, node) -> None:  # type: ignore[no-untyped-def]
+    def _run_on(self, node: Node) -> None:
         super()._run_on(node)
         words, self.words[node.name] = self.words.get(node.name, []), []
         for sender, body in words:
@@ -133,8 +131,8 @@
                 case Keep(kept):
                     self.disks[name] = kept
                 case Check(version):
-                    no = self.refuse.get(name, "")
-                    self.later(self.dice.uniform(1.0, 40.0), lambda n=version.number: self.agree(name, Checked(n, no)))  # type: ignore[misc]
+                    checked = Checked(version.number, self.refuse.get(name, ""))
+                    self.later(self.dice.uniform(1.0, 40.0), functools.partial(self.agree, name, checked))
                 case Act(rules, number, joint, _):
                     self._log("act", name, name, number=number, joint=joint, safe=rules is None)
                 case Answered(request, done, number, text):
@@ -153,6 +151,9 @@
         self.agree(name, Propose(number, base, rules, "somebody", "a test"))
         return f"{name}/{one.life}/{number}"
 
+    def put(self, name: str, rules: bytes) -> None:
+        self.propose(name, rules)
+
     def _wake_later(self, name: str) -> None:
         one, node = self.agreements.get(name), self.nodes[name]
         if one is None:
@@ -233,13 +234,15 @@
     fleet = AgreeingFleet(members, seed, base=Link(delay=2.0, jitter=8.0, loss=0.02), kind=kind)
     chosen = random_steps(seed, members, 24_000.0) if steps is None else steps
     for step in chosen:
-        fleet.later(step.at, lambda step=step: fleet.do(step))  # type: ignore[misc]
+        fleet.later(step.at, functools.partial(fleet.do, step))
     names = list(fleet.nodes)
     when = 1_500.0
     while (when := when + dice.expovariate(1 / 700.0)) < 24_000.0:
-        rules = rule_set(dice.randint(1, 3), dice.choice(["keyed", "once-only"]), dice.choice(["ready", "gone"]))
+        rules = rule_set(
+            dice.randint(1, 3), dice.choice(["keyed", "once-only"]), dice.choice(["ready", "gone"])
+        )
         name = dice.choice(names)
-        fleet.later(when, lambda n=name, r=rules: fleet.propose(n, r))  # type: ignore[misc]
+        fleet.later(when, functools.partial(fleet.put, name, rules))
     for name in names:
         fleet.start(name)
     fleet.run(24_000.0)
--- a/martentide_lab/fleet/invariants.py
+++ b/martentide_lab/fleet/invariants.py
@@ -17,6 +17,7 @@
 
 from martentide.fleet.wire import State
 from martentide_lab.fleet.story import Event, split_names
+from martentide_lab.servers import SessionServer
 
 
 @dataclass(frozen=True, slots=True)
@@ -233,3 +234,10 @@
                 text = f"does not know {lacking}, holds {beyond} for alive"
                 self.broken.append(Broken("one-fleet", end, name, "", text))
         return self.broken
+
+
+def check_withdrawn(server: SessionServer, since: float, bound: float) -> list[str]:
+    """``withdrawn``: a server that a version takes away gets nothing new later than ``bound`` ms after
+    somebody heard that it is in force (Unix ms), by what came to the server itself."""
+    late = [one.at - since for one in server.arrivals if one.at > since + bound]
+    return [f"withdrawn: {len(late)} set-ups came up to {max(late):.0f} ms after"] if late else []
--- /dev/null
+++ b/tests/agreement/test_processes.py
@@ -0,0 +1,222 @@
+"""Versions on real processes with faults between them, by what servers saw and members logged."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from martentide.cli import top
+from martentide.lifecycle.calls import VERSIONS
+from martentide.net.fleet.show import AskError, ask, propose, versions
+from martentide.net.links import unix_ms
+from martentide_lab.fleet.invariants import check_withdrawn
+from martentide_lab.fleet.rig import Rig
+from martentide_lab.fleet.story import Step
+from martentide_lab.proxy import CLASSES
+from martentide_lab.servers import SessionServer
+from tests.fleet.support import LIMIT, play
+
+BOUND = 2_000.0  # ms
+PROXIES, SERVERS = 5, 2
+
+
+def rules(attempts: int = 5, gone: tuple[str, ...] = ()) -> dict[str, Any]:
+    classes = {
+        name: {"repeat": "harmless", "deadline_ms": deadline, "pools": None}
+        for name, _, _, deadline in CLASSES
+    }
+    return {"attempts": attempts, "classes": classes, "servers": {f"{name}@0": "gone" for name in gone}}
+
+
+async def do(rig: Rig, verb: str, *arguments: object) -> None:
+    await rig.do(Step(0.0, verb, arguments))
+
+
+async def said(rig: Rig, name: str) -> dict[str, Any]:
+    found: dict[str, Any] = json.loads(await asyncio.to_thread(ask, rig.proxies[name].operator, VERSIONS))
+    return found
+
+
+async def put(rig: Rig, name: str, wanted: dict[str, Any], base: int = -1) -> dict[str, Any]:
+    """Propose there; what became of it."""
+    body = {"rules": wanted, "base": base, "by": "a test", "why": "a case"}
+    return await asyncio.to_thread(propose, rig.proxies[name].operator, body, LIMIT)
+
+
+async def acting(rig: Rig, version: int, *names: str) -> None:
+    """Wait until they all act by that version."""
+    async with asyncio.timeout(LIMIT):
+        while True:
+            found = [await said(rig, name) for name in names or tuple(rig.proxies)]
+            if all((one["version"], one["acts"], one["joint"]) == (version, "agreed", None) for one in found):
+                return
+            await asyncio.sleep(0.1)
+
+
+def versioned(folder: Path, scene: Callable[[Rig], Awaitable[None]], **more: Any) -> None:
+    """Play it once version 1 is in force; nothing may be broken by it, and no two may ever act on versions
+    that contradict each other."""
+
+    async def whole(rig: Rig) -> None:
+        async with asyncio.timeout(LIMIT):
+            while (await said(rig, "n0"))["acts"] != "own settings":
+                await asyncio.sleep(0.1)
+        assert (await put(rig, "n4", rules()))["done"]
+        await acting(rig, 1)
+        await scene(rig)
+
+    extra = {
+        f"n{at}": f'agreement {{ voters "n0" "n1" "n2"; folder "{folder}/n{at}" }}' for at in range(PROXIES)
+    }
+    play(whole, PROXIES, SERVERS, extra=extra, **more)
+
+
+async def withdraw(rig: Rig, by: str, server: SessionServer) -> float:
+    """A version that takes the server away; when its proposer heard that it is in force."""
+    verdict = await put(rig, by, rules(gone=(server.name,)))
+    assert verdict["done"], verdict
+    return unix_ms()
+
+
+def test_a_server_taken_away_gets_nothing_new_once_that_is_in_force(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        since = await withdraw(rig, "n3", rig.servers[0])
+        await acting(rig, 2)
+        await asyncio.sleep(2.0)
+        assert not check_withdrawn(rig.servers[0], since, BOUND)
+        assert len(rig.servers[1].arrivals) > 0
+        assert (await put(rig, "n1", rules()))["done"]
+        before = len(rig.servers[0].arrivals)
+        await asyncio.sleep(2.0)
+        assert len(rig.servers[0].arrivals) > before  # and it is used again
+
+    versioned(tmp_path, scene)
+
+
+def test_a_member_cut_off_from_the_others_stops_in_time(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        await do(rig, "split", "n4", "n0,n1,n2,n3")  # it still reaches servers, board and callers
+        since = await withdraw(rig, "n0", rig.servers[0])
+        await asyncio.sleep(BOUND / 1000.0)
+        assert (await said(rig, "n4"))["acts"] == "safe"
+        served = sum(load.told["answer"] for name, load in rig.all_loads if name == "n4")
+        await asyncio.sleep(2.0)
+        assert sum(load.told["answer"] for name, load in rig.all_loads if name == "n4") > served
+        await do(rig, "heal")
+        await acting(rig, 2)
+        assert since
+
+    versioned(tmp_path, scene)
+
+
+@pytest.mark.parametrize("after", [0.0, 0.15, 0.4])
+def test_the_leader_is_killed_while_a_version_comes_into_force(tmp_path: Path, after: float) -> None:
+    async def scene(rig: Rig) -> None:
+        leader = (await said(rig, "n4"))["leader"]
+        other = next(name for name in ("n3", "n4") if name != leader)
+        proposed = asyncio.create_task(put(rig, other, rules(attempts=1)))
+        await asyncio.sleep(after)
+        await do(rig, "kill", leader)
+        assert (await proposed)["done"]
+        await acting(rig, 2, *(name for name in rig.proxies if name != leader))
+        await do(rig, "start", leader)
+        await acting(rig, 2)
+
+    versioned(tmp_path, scene)
+
+
+def test_all_killed_and_back_keep_what_was_in_force(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        names = ",".join(rig.script.names())
+        await do(rig, "kill", names)
+        await do(rig, "start", names)
+        await rig.until(rig.whole, LIMIT)
+        await acting(rig, 1)
+        assert not (await put(rig, "n4", rules(attempts=2), base=0))["done"]  # stale
+        assert (await put(rig, "n4", rules(attempts=2), base=1))["done"]
+
+    versioned(tmp_path, scene)
+
+
+def test_split_without_a_majority_of_voters_nothing_new_comes_into_force(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        await do(rig, "split", "n0,n3", "n1,n2,n4")
+        assert (await put(rig, "n4", rules(attempts=1)))["done"]
+        await acting(rig, 2, "n1", "n2", "n4")
+        assert {(await said(rig, name))["acts"] for name in ("n0", "n3")} == {"safe"}
+        with pytest.raises(AskError):
+            await asyncio.to_thread(propose, rig.proxies["n3"].operator, {"rules": rules(), "base": 1}, 2.0)
+        await do(rig, "heal")
+        await acting(rig, 2)
+
+    versioned(tmp_path, scene)
+
+
+def test_stopped_for_5_s_it_wakes_and_acts_on_nothing_old(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        await do(rig, "stop", "n4")
+        since = await withdraw(rig, "n0", rig.servers[0])
+        await asyncio.sleep(5.0)
+        woken = unix_ms()
+        await do(rig, "continue", "n4")
+        await acting(rig, 2)
+        assert not [one for one in rig.servers[0].arrivals if one.at > woken + 50.0]
+        assert not check_withdrawn(rig.servers[0], since, BOUND)
+
+    versioned(tmp_path, scene)
+
+
+def test_a_voter_whose_disk_is_emptied_learns_only(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        await do(rig, "kill", "n1")
+        for file in (tmp_path / "n1").iterdir():
+            file.unlink()
+        await do(rig, "start", "n1")
+        await acting(rig, 1)
+        assert not (await said(rig, "n1"))["votes"]
+        assert (await put(rig, "n1", rules(attempts=2)))["done"]
+
+    versioned(tmp_path, scene)
+
+
+def test_a_version_is_proposed_and_shown_by_the_command(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        good, bad = tmp_path / "good.json", tmp_path / "bad.json"
+        good.write_text(json.dumps(rules(attempts=2)))
+        bad.write_text(json.dumps({**rules(), "attempts": "many"}))
+        lacking = tmp_path / "lacking.json"
+        lacking.write_text(json.dumps({**rules(), "classes": {}}))
+        run = CliRunner()
+
+        def called(*arguments: str) -> Any:
+            return run.invoke(top, ["fleet", *arguments, "--operator", rig.proxies["n3"].operator])
+
+        found = await asyncio.to_thread(called, "propose", str(bad))
+        assert (
+            found.exit_code == 2 and "attempts: expected a number from 1 to 100, found 'many'" in found.stderr
+        )
+        found = await asyncio.to_thread(called, "propose", str(lacking))
+        assert found.exit_code == 3 and "expected status-check" in found.stderr
+        found = await asyncio.to_thread(called, "propose", str(good), "--why", "month end")
+        assert found.exit_code == 0 and "version 2 is in force" in found.stdout
+        await acting(rig, 2)
+        found = await asyncio.to_thread(called, "versions")
+        assert "month end" in found.stdout and "acts by agreed" in found.stdout
+        assert "learns" in versions(json.dumps(await said(rig, "n3")))
+
+    versioned(tmp_path, scene)
+
+
+@pytest.mark.parametrize(("late", "broken"), [(100.0, False), (BOUND + 100.0, True)])
+def test_the_checker_of_withdrawn_servers_can_fail(late: float, broken: bool) -> None:
+    from martentide_lab.servers import Arrival
+
+    server = SessionServer(0)
+    server.arrivals.append(Arrival(b"", b"", 5_000.0 + late))
+    assert bool(check_withdrawn(server, 5_000.0, BOUND)) is broken
--- /dev/null
+++ b/tests/agreement/test_versions.py
@@ -0,0 +1,233 @@
+"""Versions in simulated time: random faults and proposals, hard cases one by one, and planted faults."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from martentide.agreement.core import Agreement, Kept, Propose, Terms
+from martentide.agreement.parts import MOST_PARTS, PART, Joiner, Splitter
+from martentide.agreement.raft import fresh
+from martentide.agreement.store import read_kept, recover, write_kept
+from martentide.agreement.words import Ask, Force, Grant, Joint
+from martentide.learned.recovery import Found
+from martentide_lab.fleet.agreeing import AgreeingFleet, play_random, rule_set
+from martentide_lab.fleet.faults import Link
+from martentide_lab.fleet.story import Step
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_random_faults_and_proposals_leave_no_contradiction(seed: int) -> None:
+    fleet = play_random(seed)
+    assert not fleet.broken
+    assert sum(one.done for one in fleet.voiced) >= 3
+
+
+class GrantsWhileDeciding(Agreement):
+    def _log(self, command: Joint | Force) -> None:
+        super()._log(command)
+        self.deciding = 0
+
+
+class WaitsForNobody(Agreement):
+    def _lead(self) -> None:
+        self.leases.clear()
+        super()._lead()
+
+
+class CountsFromWhenItCame(Agreement):
+    def _granted(self, sender: str, grant: Grant) -> None:
+        super()._granted(sender, grant)
+        if grant.lease > 0.0:
+            self.until = max(self.until, self.now + 2.0 * grant.lease)
+
+
+class ActsOnWhatItPrepares(Agreement):
+    def rules(self) -> Any:
+        joint = self.known.joint
+        if self.acts is not None and self.acts[1] and joint is not None:
+            return self._rules(joint)  # not on what both allow
+        return super().rules()
+
+
+class ForgetsAtAStart(Agreement):
+    """A new leader that takes nobody for having a lease, and does not wait."""
+
+    def _lead(self) -> None:
+        if self.leads_since is not None:
+            self.leads_since = -1e12
+        super()._lead()
+
+
+FAULTS = (GrantsWhileDeciding, WaitsForNobody, CountsFromWhenItCame, ActsOnWhatItPrepares, ForgetsAtAStart)
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_planted_fault_is_found(fault: type[Agreement]) -> None:
+    for seed in range(1, 60):
+        broken = play_random(seed, kind=fault).broken
+        if any(one.startswith("no-contradiction") for one in broken):
+            return
+    pytest.fail("not found")
+
+
+# ---- hard cases
+# ---------------------------------------------------------------------------------------------
+
+
+def begun(members: int = 5, voters: int = 3) -> AgreeingFleet:
+    fleet = AgreeingFleet(members, 7, voters, base=Link(delay=2.0, jitter=4.0))
+    for name in fleet.nodes:
+        fleet.start(name)
+    fleet.run(3_000.0)
+    return fleet
+
+
+def do(fleet: AgreeingFleet, verb: str, *arguments: object, lasts: float = 0.0) -> None:
+    fleet.do(Step(0.0, verb, arguments))
+    fleet.run(fleet.now + lasts)
+
+
+def verdict(fleet: AgreeingFleet, name: str, rules: bytes, base: int = -1, lasts: float = 4_000.0) -> Any:
+    """What became of a proposal, and in how many ms; None: nothing yet."""
+    request, since = fleet.propose(name, rules, base), fleet.now
+    fleet.run(fleet.now + lasts)
+    found = [one for one in fleet.voiced if one.request == request]
+    return (found[0].done, found[0].at - since) if found else None
+
+
+def leader(fleet: AgreeingFleet) -> str:
+    return next(
+        name for name, one in fleet.agreements.items()
+        if one.raft is not None and not fleet.nodes[name].stopped
+        and one.raft.leads(fleet.nodes[name].clock(fleet.now))
+    )  # fmt: skip
+
+
+def test_a_version_that_contradicts_is_in_force_at_all_soon() -> None:
+    fleet = begun()
+    for attempts in (3, 2, 1):
+        done, took = verdict(fleet, "n4", rule_set(attempts))
+        assert done and took < 1_500.0
+    assert {one.known.force.number for one in fleet.agreements.values()} == {3}
+    assert not fleet.finish()
+
+
+def test_two_proposed_at_once_one_comes_into_force() -> None:
+    fleet = begun()
+    fleet.propose("n3", rule_set(2), base=0)
+    fleet.propose("n4", rule_set(3), base=0)
+    fleet.run(6_000.0)
+    assert sorted(one.done for one in fleet.voiced) == [False, True]
+    assert verdict(fleet, "n3", rule_set(2), base=0)[0] is False  # it builds on what is not in force any more
+
+
+def test_a_member_that_turns_it_down_ends_it_for_all() -> None:
+    fleet = begun()
+    fleet.refuse["n4"] = "classes: expected voice, found none"
+    assert verdict(fleet, "n0", rule_set(2))[0] is False
+    assert "turned down by n4" in fleet.agreements["n0"].books.past[-1][3]
+    fleet.refuse.clear()
+    assert verdict(fleet, "n0", rule_set(2))[0] is True
+
+
+def test_a_member_cut_off_holds_it_up_no_longer_than_its_lease() -> None:
+    fleet = begun()
+    assert verdict(fleet, "n0", rule_set(2))[0]
+    do(fleet, "split", "n4", "n0,n1,n2,n3")
+    done, took = verdict(fleet, "n0", rule_set(1))
+    assert done and took < Terms().bound
+    assert "n4" not in fleet.acting()  # it is on safe rules
+    do(fleet, "heal", lasts=2_000.0)
+    assert fleet.agreements["n4"].known.force.number == 2 and "n4" in fleet.acting()
+
+
+@pytest.mark.parametrize("after", [20.0, 60.0, 120.0, 200.0, 300.0, 400.0])
+def test_the_leader_is_killed_in_each_phase(after: float) -> None:
+    fleet = begun()
+    assert verdict(fleet, "n4", rule_set(3))[0]
+    fleet.propose("n4", rule_set(1))
+    fleet.run(fleet.now + after)
+    do(fleet, "kill", leader(fleet), lasts=8_000.0)
+    assert fleet.voiced[-1].done and not fleet.finish()
+    assert len({one.known.force.number for one in fleet.agreements.values()}) == 1
+
+
+def test_nothing_new_without_a_majority_and_all_are_safe_in_time() -> None:
+    fleet = begun()
+    assert verdict(fleet, "n4", rule_set(3))[0]
+    do(fleet, "kill", "n0,n1", lasts=Terms().bound)
+    assert not fleet.acting()
+    assert verdict(fleet, "n4", rule_set(1)) is None
+    do(fleet, "start", "n0", lasts=6_000.0)
+    assert len(fleet.acting()) == 4 and not fleet.finish()
+
+
+def test_all_voters_lost_and_back_with_their_disks() -> None:
+    fleet = begun()
+    assert verdict(fleet, "n4", rule_set(3))[0]
+    do(fleet, "kill", "n0,n1,n2", lasts=3_000.0)
+    do(fleet, "start", "n0,n1,n2", lasts=6_000.0)
+    assert verdict(fleet, "n4", rule_set(2), base=1)[0]
+    assert not fleet.finish()
+
+
+def test_a_voter_whose_disk_was_lost_learns_and_does_not_vote() -> None:
+    fleet = begun()
+    do(fleet, "kill", "n1")
+    fleet.lose_disk("n1")
+    do(fleet, "start", "n1", lasts=3_000.0)
+    assert not fleet.agreements["n1"].votes and "n1" not in fleet.disks
+    assert verdict(fleet, "n4", rule_set(3))[0] and "n1" in fleet.acting()
+
+
+def test_a_member_that_stood_still_for_5_s_wakes_in_the_joint_phase_safely() -> None:
+    fleet = begun()
+    assert verdict(fleet, "n4", rule_set(3))[0]
+    do(fleet, "stop", "n3", lasts=5_000.0)
+    fleet.propose("n4", rule_set(1))
+    fleet.run(fleet.now + 60.0)
+    do(fleet, "continue", "n3", lasts=5_000.0)
+    assert not fleet.finish() and fleet.agreements["n3"].known.force.number == 2
+
+
+# ---- parts
+# ----------------------------------------------------------------------------------------------------
+
+
+def test_a_long_word_is_joined_from_its_parts_in_any_order() -> None:
+    splitter, joiner = Splitter(), Joiner()
+    word = bytes(range(256)) * 20
+    parts = splitter.split(word)
+    assert all(len(one) <= PART + 6 for one in parts)
+    found = [joiner.take(0.0, "a", one) for one in [*reversed(parts), parts[0]]]
+    assert [one for one in found if one is not None] == [word]
+    assert joiner.take(0.0, "a", b"\0\0\0\1\7\3x") is None  # a place beyond the count
+    with pytest.raises(ValueError):
+        splitter.split(bytes(PART * MOST_PARTS + 1))
+
+
+def test_a_book_that_is_damaged_is_not_replaced_by_the_one_before() -> None:
+    kept = Kept(fresh("n0", ("n0",)), ("n1",))
+    data = write_kept(kept)
+    assert read_kept(data) == kept
+    spoilt = data[:-1] + bytes((data[-1] ^ 1,))
+    none = Found("state", None)
+    assert recover([Found("state", data), Found("state.old", None)], "n0") == (kept, "")
+    assert recover([none, Found("state.old", data)], "n0") == (kept, "")  # killed between two renames
+    assert recover([Found("state", spoilt), Found("state.old", data)], "n0")[0] is None
+    assert "expected the books of n1" in recover([Found("state", data), Found("state.old", None)], "n1")[1]
+    assert recover([none, Found("state.old", None)], "n0") == (None, "")
+
+
+def test_a_proposal_that_is_too_long_is_turned_down_at_once() -> None:
+    one = Agreement("n0", 1, ("n0",), Terms(), 1, 0.0)
+    actions = one.handle(1.0, Propose("1", -1, bytes(40_000), "", ""))
+    assert any(getattr(action, "done", None) is False for action in actions)
+
+
+def test_words_of_a_later_version_are_read() -> None:
+    raw = msgspec.msgpack.decode(msgspec.msgpack.encode(Ask(1.0, 2, 3, 4)))
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode([*raw, "new"]), type=Ask) == Ask(1.0, 2, 3, 4)
