Join lists of servers between members; tell all by what each acts

Need: a drain that one member hears, while the others' boards are dead, holds for that one alone.

Change: a server's state for one start only ever grows, so lists are joined: each member tells the digest of its list and its last changes as a facet, and asks for the whole one where digests differ. A state that goes back at a board means nothing; a whole list takes away only what the same board told of. The same facet tells by what each acts, and since when.

--- a/martentide/agreement/parts.py
+++ b/martentide/agreement/parts.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 PART = 900  # bytes of a word in one datagram
@@ -15,7 +16,12 @@
 
 class Splitter:
     def __init__(self) -> None:
-        self.number = 0
+        self.number = self.turn = 0
+
+    def choose(self, names: Sequence[str]) -> str:
+        """One after the other, so that each has its turn."""
+        self.turn += 1
+        return names[self.turn % len(names)]
 
     def split(self, word: bytes) -> list[bytes]:
         """Raises ValueError for a word that is too long."""
--- a/martentide/agreement/ruleset.py
+++ b/martentide/agreement/ruleset.py
@@ -213,6 +213,24 @@
     return RuleSet(exactly(attempts), classes, tenants, exactly(cold), servers)
 
 
+def plain(rules: RuleSet) -> dict[str, Any]:
+    """As people write it, what is allowed; ``rules_from`` reads it again."""
+    names, repeats = {value: name for name, value in STATES.items()}, {v: k.value for k, v in REPEATS.items()}
+    return {
+        "attempts": int(rules.attempts.lo),
+        "classes": {
+            name: {
+                "repeat": repeats[int(one.repeat.lo)], "deadline_ms": one.deadline.lo,
+                "pools": None if ANY_PLACE in one.places.narrow else list(one.places.narrow),
+            }
+            for name, one in rules.classes.items()
+        },
+        "tenants": {name: one.lo for name, one in rules.tenants.items()},
+        "cold_share": rules.cold.lo,
+        "servers": {name: names[int(one.lo)] for name, one in rules.servers.items()},
+    }  # fmt: skip
+
+
 def _class_from(data: Any, where: str) -> ClassRule:
     table = _table(data, where, {"repeat", "deadline_ms", "pools"})
     kinds = {kind.value: kind for kind in Repeat}
--- a/martentide/agreement/words.py
+++ b/martentide/agreement/words.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from martentide.agreement.lists import MOST_TOLD, Record
 from martentide.agreement.raft import Name
 
 MOST_WHY = 200
@@ -107,7 +108,17 @@
     met: bool
 
 
-Word = Ask | Grant | Ballot | Proposal | Verdict | Blank
+class WantList(msgspec.Struct, array_like=True, frozen=True, tag="want-list"):
+    """Lists differ: tell me yours."""
+
+    digest: int
+
+
+class TheList(msgspec.Struct, array_like=True, frozen=True, tag="the-list"):
+    records: list[Record]
+
+
+Word = Ask | Grant | Ballot | Proposal | Verdict | Blank | WantList | TheList
 _ENCODER = msgspec.msgpack.Encoder()
 _WORDS, _COMMANDS = msgspec.msgpack.Decoder(Word), msgspec.msgpack.Decoder(Command)
 _BOOKS = msgspec.msgpack.Decoder(Books)
@@ -128,3 +139,41 @@
 
 def read_books(body: bytes) -> Books:
     return _BOOKS.decode(body)
+
+
+# ---- the facet --------------------------------------------------------------------------------------------
+
+FACET, FACET_SCHEMA, FACET_END = 4, 1, 10_000  # kind; ms that a word counts
+SAFE, OWN, AGREED = 0, 1, 2
+
+
+class Told(msgspec.Struct, array_like=True, frozen=True):
+    """What a member tells all others: by what it acts, and since when; its list, by digest and last
+    changes."""
+
+    version: int
+    joint: int
+    acts: int
+    since: int  # ms before this was said
+    refused: str
+    digest: int
+    changes: list[Record] = []
+
+
+_TOLD = msgspec.msgpack.Decoder(Told)
+MOST_FACET = 480  # bytes
+
+
+def write_told(told: Told) -> bytes:
+    """With as many of the changes as fit."""
+    while len(body := _ENCODER.encode(told)) > MOST_FACET and told.changes:
+        told = msgspec.structs.replace(told, changes=told.changes[:-1])
+    return body
+
+
+def read_told(body: bytes) -> Told:
+    """Raises msgspec.DecodeError or ValidationError."""
+    told = _TOLD.decode(body)
+    if len(told.changes) > MOST_TOLD or told.since < 0:
+        raise msgspec.ValidationError("figures out of range")
+    return told
--- a/martentide/net/decider.py
+++ b/martentide/net/decider.py
@@ -193,6 +193,7 @@
         self.own_settings = controller.settings  # without what the fleet agreed on
         self.in_force: InForce | None = None  # what the fleet agreed on, where it agrees on anything
         self.before: Callable[[], None] | None = None  # called before each item: whether that still holds
+        self.join_lists: Callable[[Notice], Notice] | None = None  # with what other members heard
         self.answered_by: dict[str, float] = {}  # server's last answer, by the loop's clock in s
         self.closing = False
         self.idle = asyncio.Event()
@@ -466,6 +467,8 @@
 
     def follow(self, notice: Notice, kind: ListKind | None = None) -> None:
         """Tell the servers' actors first, so that no later order finds an old state, then the decisions."""
+        if self.join_lists is not None:
+            notice = self.join_lists(notice)
         told = {listed.entry.name: listed for listed in notice.servers}
         changed = dict(told)
         if notice.whole:
--- a/martentide/net/fleet/agreed.py
+++ b/martentide/net/fleet/agreed.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import functools
 import json
 from collections import OrderedDict, deque
@@ -30,12 +31,38 @@
     Tell,
     Terms,
 )
+from martentide.agreement.lists import STATES, Book, Record
 from martentide.agreement.overlay import ANSWERED, InForce, check
 from martentide.agreement.parts import Joiner, Splitter
-from martentide.agreement.ruleset import RuleError, RuleSet, read_rules, rules_from, write_rules
+from martentide.agreement.ruleset import RuleError, RuleSet, plain, read_rules, rules_from, write_rules
 from martentide.agreement.store import recover, write_kept
-from martentide.agreement.words import write
-from martentide.interface import AttemptEnded, Ending, Event, ProbeEnded, Stands
+from martentide.agreement.words import (
+    AGREED,
+    FACET,
+    FACET_END,
+    FACET_SCHEMA,
+    OWN,
+    SAFE,
+    TheList,
+    Told,
+    WantList,
+    Word,
+    read_told,
+    read_word,
+    write,
+    write_told,
+)
+from martentide.codec.board import Listed, Notice
+from martentide.fleet.core import Core, Publish
+from martentide.interface import (
+    AttemptEnded,
+    Ending,
+    Event,
+    ProbeEnded,
+    ServerEntry,
+    ServerState,
+    Stands,
+)
 from martentide.learned.files import load, save
 from martentide.lifecycle.calls import VERSIONS
 from martentide.net.decider import Decider, Probing
@@ -48,6 +75,7 @@
 MOST_QUEUED = 1_024  # actions that wait for the disk; a voter whose disk hangs says nothing meanwhile
 MOST_VERDICTS = 64
 LOCK_TRIES, LOCK_GAP = 60, 0.05  # and s between two tries at a folder that a predecessor still holds
+LIST_GAP = 500.0  # ms between two questions for another member's list
 SAFE_LOOK = 0.25  # s between two looks at which servers answered, under safe rules
 REFRESH = 0.7  # of ANSWERED: a server that was not heard of for so long is tested, under safe rules
 
@@ -56,9 +84,15 @@
     """One member's agreement, from ``begin`` to ``end``; ``carry`` sends a part of a word to a member."""
 
     def __init__(
-        self, part: AgreementPart, name: str, decider: Decider, carry: Callable[[str, bytes], None]
+        self,
+        part: AgreementPart,
+        name: str,
+        decider: Decider,
+        carry: Callable[[str, bytes], None],
+        known_members: Callable[[], Core | None],
     ) -> None:
         self.part, self.name, self.decider, self.carry = part, name, decider, carry
+        self.known_members = known_members
         self.loop = asyncio.get_running_loop()
         self.core: Agreement | None = None
         self.splitter, self.joiner = Splitter(), Joiner()
@@ -73,6 +107,11 @@
         self.verdicts: OrderedDict[str, dict[str, Any]] = OrderedDict()
         self.numbers = 0
         self.handling = False
+        self.book, self.mine = Book(), set[str]()  # servers by name that the own board told of
+        self.joining = False
+        self.since = self._now()  # of what it acts by
+        self.told: Told | None = None
+        self.told_at = self.wanted_at = -1e9
 
     def _now(self) -> float:
         return self.loop.time() * 1000.0
@@ -82,7 +121,8 @@
     async def begin(self, life: int, seed: int) -> None:
         """Read the books, where there are any; until the first lease the member acts by safe rules."""
         self.decider.heard.append(self._overhear)
-        self.decider.before = self._still
+        self.decider.before, self.decider.join_lists = self._still, self._join
+        self._join(Notice(0, False, tuple(self.decider.listed.values())))
         self._enter(InForce(safe=True))
         kept, why = None, "no folder is set: what a voter knows ends with its process"
         if self.part.folder and self.name in self.part.voters:
@@ -121,7 +161,7 @@
                 timer.cancel()
         if self._overhear in self.decider.heard:
             self.decider.heard.remove(self._overhear)
-        self.decider.before = None
+        self.decider.before = self.decider.join_lists = None
         self.core = None
         self.queued.clear()
         if self.disk is not None:
@@ -134,8 +174,26 @@
 
     def heard(self, sender: str, part: bytes) -> None:
         word = self.joiner.take(self._now(), sender, part)
-        if word is not None:
-            self.feed(Heard(sender, word))
+        if word is None:
+            return
+        try:
+            said = read_word(word)
+        except (msgspec.DecodeError, msgspec.ValidationError):
+            return
+        match said:
+            case WantList():
+                self._tell(sender, TheList(self.book.all()))
+            case TheList(records):
+                self._hear_list(records)
+            case _:
+                self.feed(Heard(sender, word))
+
+    def _tell(self, to: str, word: Word) -> None:
+        try:
+            for one in self.splitter.split(write(word)):
+                self.carry(to, one)
+        except ValueError as error:
+            LOG.error("agreement-too-long", detail=repr(str(error)))
 
     def feed(self, event: agreement.Event) -> None:
         if self.core is None:
@@ -198,11 +256,7 @@
     def _act(self, action: Action) -> None:
         match action:
             case Tell(to, word):
-                try:
-                    for part in self.splitter.split(write(word)):
-                        self.carry(to, part)
-                except ValueError as error:
-                    LOG.error("agreement-too-long", detail=repr(str(error)))
+                self._tell(to, word)
             case Check(version):
                 self.loop.call_soon(self.feed, Checked(version.number, self._check(version.rules)))
             case Act(rules, number, joint, until):
@@ -222,6 +276,8 @@
             return f"it can't be read here: {error}"
 
     def _enter(self, in_force: InForce) -> None:
+        if (in_force.safe, in_force.rules) != (self.acts.safe, self.acts.rules):
+            self.since = self._now()
         self.acts = in_force
         self.decider.act_by(in_force)
         if in_force.safe and self.looking is None and self.core is not None:
@@ -265,6 +321,70 @@
         self.decider.list_again()
         self.looking = self.loop.call_later(SAFE_LOOK, self._look_safe)
 
+    # ---- lists ------------------------------------------------------------------------------------------
+
+    def _join(self, notice: Notice) -> Notice:
+        """In the decider's turn: what the own board tells, joined with what others heard. A state that goes
+        back is none; a whole list takes away only what this board told of itself."""
+        if self.joining:
+            return notice
+        records = [record_of(listed) for listed in notice.servers]
+        if notice.whole:
+            new = self.book.whole(records, self.mine)
+        else:
+            new = [one for record in records if (one := self.book.hear(record)) is not None]
+        self.mine.update(record.name for record in records)
+        if len(self.mine) > 2 * len(self.book.servers) + 64:
+            self.mine &= set(self.book.servers)
+        return Notice(notice.number, False, tuple(listed_of(one) for one in new))
+
+    def _hear_list(self, records: list[Record]) -> None:
+        new = [one for record in records if (one := self.book.hear(record)) is not None]
+        if new:
+            log_event("fleet-list", changes=len(new), digest=f"{self.book.digest():08x}")
+            self.joining = True
+            try:
+                self.decider.follow(Notice(0, False, tuple(map(self._listed, new))))
+            finally:
+                self.joining = False
+
+    def _listed(self, record: Record) -> Listed:
+        """Another's word on a start that is known here changes its state only: each is told its own way
+        there."""
+        found, known = listed_of(record), self.decider.listed.get(record.name)
+        if known is not None and record_of(known).start == record.start:
+            return dataclasses.replace(found, host=known.host, port=known.port)
+        return found
+
+    def look(self, core: Core) -> list[Publish]:
+        """With each look of the member: what others tell of their lists, and the own word where it is new."""
+        if self.core is None or core.silent:
+            return []
+        now, digest = self._now(), self.book.digest()
+        apart = []
+        for word, facet, _ in core.facets_of(FACET, now):
+            try:
+                told = read_told(facet.body)
+            except (msgspec.DecodeError, msgspec.ValidationError):
+                continue
+            if told.digest != digest and word.name != self.name:
+                self._hear_list(told.changes)
+                apart.append(word.name)
+        digest = self.book.digest()
+        if apart and now - self.wanted_at >= LIST_GAP:
+            self.wanted_at = now  # one at a time: what it lacks may be with any of them
+            self._tell(self.splitter.choose(apart), WantList(digest))
+        acts = SAFE if self.acts.safe else OWN if self.acts.rules is None else AGREED
+        known = self.core.known
+        told = Told(
+            known.force.number, self.core.prepared, acts, 0, self.core.no[:80], digest, self.book.told()
+        )
+        if told == self.told and now - self.told_at < FACET_END / 3.0:
+            return []
+        self.told, self.told_at = told, now
+        body = write_told(msgspec.structs.replace(told, since=int(now - self.since)))
+        return [Publish(FACET, FACET_SCHEMA, FACET_END, body)]
+
     # ---- people -----------------------------------------------------------------------------------------
 
     def _remember(self, request: str, verdict: dict[str, Any]) -> None:
@@ -311,6 +431,26 @@
         elif write_rules(rules) != self.core.known.force.rules:
             self.propose(rules, self.core.known.force.number, self.name, "SIGHUP")
 
+    @staticmethod
+    def _shown(rules: bytes) -> dict[str, Any] | None:
+        return plain(read_rules(rules)) if rules else None
+
+    def members(self) -> list[dict[str, Any]]:
+        """What all say of themselves, by their facets; ages in ms."""
+        core, now = self.known_members(), self._now()
+        found = []
+        for word, facet, age in core.facets_of(FACET, now) if core is not None else ():
+            try:
+                told = read_told(facet.body)
+            except (msgspec.DecodeError, msgspec.ValidationError):
+                continue
+            found.append(
+                {"name": word.name, "version": told.version, "prepared": told.joint, "refused": told.refused,
+                 "acts": ("safe", "own settings", "agreed")[min(2, max(0, told.acts))],
+                 "since_ms": round(told.since + age), "list": f"{told.digest:08x}"}
+            )  # fmt: skip
+        return sorted(found, key=lambda one: str(one["name"]))
+
     def status(self) -> str:
         """JSON: versions, the lease, and what became of proposals made here."""
         core = self.core
@@ -324,5 +464,21 @@
              "version": books.force.number, "by": books.force.by, "why": books.force.why,
              "joint": None if joint is None else joint.number, "prepared": core.prepared,
              "refused": core.no, "acts": acts, "lease_ms": max(0, round(core.until - now)),
-             "past": [list(one) for one in books.past], "verdicts": self.verdicts}
+             "list": f"{self.book.digest():08x}", "servers": len(self.book.servers),
+             "past": [list(one) for one in books.past], "verdicts": self.verdicts,
+             "rules": self._shown(books.force.rules), "members": self.members()}
         )  # fmt: skip
+
+
+def record_of(listed: Listed) -> Record:
+    entry = listed.entry
+    rank = STATES.index(entry.state.value)
+    start = int(entry.started or 0)
+    return Record(entry.name, start, rank, entry.place, entry.zone, entry.size, listed.host, listed.port)
+
+
+def listed_of(record: Record) -> Listed:
+    state = ServerState(STATES[record.state])
+    started = float(record.start) if record.start else None
+    entry = ServerEntry(record.name, record.place, record.zone, state, started, record.size)
+    return Listed(entry, record.host, record.port)
--- a/martentide/net/fleet/member.py
+++ b/martentide/net/fleet/member.py
@@ -160,7 +160,7 @@
         if self.part.agreement is not None:
             from martentide.net.fleet.agreed import Agreed
 
-            self.agreed = Agreed(self.part.agreement, self.name, self.decider, self._carry)
+            self.agreed = Agreed(self.part.agreement, self.name, self.decider, self._carry, lambda: self.core)
             await self.agreed.begin(self.core.me.life, seed)
             if self.core is None:
                 self.agreed.end()
@@ -350,6 +350,9 @@
                 actor.post(Probing())
         if self.overload is not None:
             self._handle_overload(core, self.overload, now)
+        if self.agreed is not None:
+            for word in self.agreed.look(core):
+                self._feed(word)
 
     def _overload_terms(self, settings: Settings) -> tuple[dict[str, float], float, float]:
         worths = {kind.name: kind.worth for kind in settings.classes}
--- a/tests/agreement/test_processes.py
+++ b/tests/agreement/test_processes.py
@@ -19,7 +19,7 @@
 from martentide_lab.fleet.rig import Rig
 from martentide_lab.fleet.story import Step
 from martentide_lab.proxy import CLASSES
-from martentide_lab.servers import SessionServer
+from martentide_lab.servers import DRAINING, READY, Arrival, SessionServer
 from tests.fleet.support import LIMIT, play
 
 BOUND = 2_000.0  # ms
@@ -213,10 +213,26 @@
     versioned(tmp_path, scene)
 
 
+def test_a_drain_that_one_member_hears_holds_for_all_while_their_boards_are_dead(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        others = "n1,n2,n3,n4"
+        await do(rig, "split", others, "board")
+        rig.board.tell([(rig.servers[0], DRAINING)])
+        since = unix_ms()
+        await asyncio.sleep(4.0)
+        assert not check_withdrawn(rig.servers[0], since, BOUND)
+        digests = {(await said(rig, name))["list"] for name in rig.proxies}
+        assert len(digests) == 1
+        await do(rig, "heal")
+        rig.board.tell([(rig.servers[0], READY)])  # one that goes back: of the same start it means nothing
+        await asyncio.sleep(1.0)
+        assert not check_withdrawn(rig.servers[0], since, BOUND)
+
+    versioned(tmp_path, scene)
+
+
 @pytest.mark.parametrize(("late", "broken"), [(100.0, False), (BOUND + 100.0, True)])
 def test_the_checker_of_withdrawn_servers_can_fail(late: float, broken: bool) -> None:
-    from martentide_lab.servers import Arrival
-
     server = SessionServer(0)
     server.arrivals.append(Arrival(b"", b"", 5_000.0 + late))
     assert bool(check_withdrawn(server, 5_000.0, BOUND)) is broken
--- a/tests/agreement/test_ruleset.py
+++ b/tests/agreement/test_ruleset.py
@@ -13,6 +13,7 @@
     RuleSet,
     contradictions,
     meet,
+    plain,
     read_rules,
     rules_from,
     write_rules,
@@ -118,6 +119,7 @@
     assert not contradictions(both, one) and not contradictions(both, other)
     assert contradictions(one, other) == [] or contradictions(other, one) != []
     assert read_rules(write_rules(both)) == both
+    assert rules_from(plain(one), "again") == one
 
 
 @settings(max_examples=200, deadline=None)
