--- a/martentide/agreement/core.py
+++ b/martentide/agreement/core.py
@@ -36,6 +36,7 @@
     Force,
     Grant,
     Joint,
+    News,
     Proposal,
     Verdict,
     Version,
@@ -46,6 +47,7 @@
     write,
 )
 
+MOST_KEPT, MOST_KEPT_BYTES = 8, 16_000  # versions before the one in force, for those who want one back
 MOST_MET = 64  # voters, present and past
 MOST_PAST = 16  # versions of which the books tell what became
 MOST_LEASES = 4_096  # members that a leader grants leases to
@@ -53,6 +55,7 @@
 MOST_RULES = 32_000  # bytes of a rule set: two, and what goes with them, fit a word
 PROPOSAL_LIFE = 15_000.0  # ms after which a proposer is told that nothing is known of it
 SAID_AGAIN = 500.0  # ms between two times that a proposal or a question of a blank voter is said
+MOST_AHEAD = 10_000  # entries by which a word of news may be ahead: one that is further is a lie
 CHECK_AGAIN = 1_000.0  # ms after which a host that said nothing is asked again
 PREPARE_LIMIT = 10_000.0  # ms after which a version that some live member did not prepare is dropped
 HINT_GAP = 20.0  # ms after which one that was named is asked
@@ -452,6 +455,8 @@
                     self.actions.append(Answered(request, done, number, text))
             case Blank():
                 self._blank(sender, word)
+            case News(index) if self.known.index < index <= self.known.index + MOST_AHEAD:
+                self.ask_due = min(self.ask_due, self.now)
 
     def _say(self, to: Name, word: Word) -> None:
         if to == self.name:
@@ -558,11 +563,15 @@
                         books = msgspec.structs.replace(books, joint=None, past=past)
                         self._settle(joint, False, dropped)
                     else:
-                        books = Books(index, joint, None, past, books.last)
+                        books = Books(index, joint, None, past, books.last, _kept(books))
                         self._settle(joint, True, f"version {number} is in force")
                 case Force():
                     pass
+        changed = (books.force, books.joint) != (self.books.force, self.books.joint)
         self.books = books
+        if changed and self.raft.role is Role.LEADER:
+            self.ask_due = self.now
+            self.actions += [Tell(name, News(index)) for name in self.leases if name != self.name]
 
     def _settle(self, version: Version, done: bool, text: str) -> None:
         to = self.owed.pop(version.request, None)
@@ -695,3 +704,11 @@
         if joint is not None:
             return f"version {joint.number} by {joint.by} is being brought into force: propose it again then"
         return ""
+
+
+def _kept(books: Books) -> tuple[Version, ...]:
+    """The versions to keep once the one in force is one of the past: the newest that there is room for."""
+    kept = [*books.kept, books.force] if books.force.number else []
+    while len(kept) > MOST_KEPT or sum(len(one.rules) for one in kept) > MOST_KEPT_BYTES:
+        del kept[0]
+    return tuple(kept)
--- a/martentide/agreement/words.py
+++ b/martentide/agreement/words.py
@@ -41,14 +41,15 @@
 
 class Books(msgspec.Struct, array_like=True, frozen=True):
     """What the log says, all told: the state in a snapshot. ``index`` of the last entry in it; ``last``: the
-    highest number that any version had, since a dropped one's must not be borne by another; ``past``:
-    number, who, why, and what became of the last versions."""
+    highest number that any version had, since a dropped one's must not be borne by another; ``kept``: what
+    was in force before, newest last; ``past``: number, who, why, and what became of the last versions."""
 
     index: int
     force: Version
     joint: Version | None
     past: tuple[tuple[int, str, str, str], ...]
     last: int = 0
+    kept: tuple[Version, ...] = ()
 
 
 class Ask(msgspec.Struct, array_like=True, frozen=True, tag="ask"):
@@ -108,6 +109,12 @@
     met: bool
 
 
+class News(msgspec.Struct, array_like=True, frozen=True, tag="news"):
+    """A leader's books go to ``index`` now: ask for them."""
+
+    index: int
+
+
 class WantList(msgspec.Struct, array_like=True, frozen=True, tag="want-list"):
     """Lists differ: tell me yours."""
 
@@ -118,7 +125,7 @@
     records: list[Record]
 
 
-Word = Ask | Grant | Ballot | Proposal | Verdict | Blank | WantList | TheList
+Word = Ask | Grant | Ballot | Proposal | Verdict | Blank | News | WantList | TheList
 _ENCODER = msgspec.msgpack.Encoder()
 _WORDS, _COMMANDS = msgspec.msgpack.Decoder(Word), msgspec.msgpack.Decoder(Command)
 _BOOKS = msgspec.msgpack.Decoder(Books)
--- a/martentide/cli.py
+++ b/martentide/cli.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import os
 import signal
 import sys
@@ -15,8 +14,9 @@
 from martentide import __version__, log
 from martentide.net.config import Config, ConfigError, load_config
 from martentide.net.service import serve
-
-BAD_CONFIG, CANNOT_LISTEN, REFUSED = 2, 1, 3
+from martentide.versions import BAD_FILE as BAD_CONFIG
+from martentide.versions import CANNOT_ASK as CANNOT_LISTEN
+from martentide.versions import OPERATOR, REFUSED, add_to
 
 
 class Default(click.Group):
@@ -138,8 +138,7 @@
 
 
 @fleet.command("show", help="Members, their states, ages and facets, as the proxy knows them.")
-@click.option("--operator", metavar="HOST:PORT", envvar="PROXY_OPERATOR", required=True,
-              help="where the proxy's operator's calls come in; default: $PROXY_OPERATOR")  # fmt: skip
+@OPERATOR
 @click.option("--json", "as_json", is_flag=True, help="as JSON")
 def fleet_show(operator: str, as_json: bool) -> None:
     from martentide.net.fleet.show import AskError, ask, table
@@ -152,60 +151,7 @@
     click.echo(status if as_json else table(status))
 
 
-OPERATOR = click.option(
-    "--operator", metavar="HOST:PORT", envvar="PROXY_OPERATOR", required=True,
-    help="where the proxy's operator's calls come in; default: $PROXY_OPERATOR",
-)  # fmt: skip
-
-
-@fleet.command(
-    "versions", help="The version of rules in force, the one being brought into force, and the last ones."
-)
-@OPERATOR
-@click.option("--json", "as_json", is_flag=True, help="as JSON")
-def fleet_versions(operator: str, as_json: bool) -> None:
-    from martentide.lifecycle.calls import VERSIONS
-    from martentide.net.fleet.show import AskError, ask, versions
-
-    try:
-        status = ask(operator, VERSIONS)
-    except AskError as error:
-        click.echo(f"martentide: {operator}: {error}", err=True)
-        sys.exit(CANNOT_LISTEN)
-    click.echo(status if as_json else versions(status))
-
-
-@fleet.command(
-    "propose", help="Propose the rules in FILE as the next version, and wait until it is in force."
-)
-@click.argument("file")
-@OPERATOR
-@click.option("--base", default=-1, help="the version that it builds on; default: whatever is in force")
-@click.option("--by", default="", help="who proposes it")
-@click.option("--why", default="", help="what for")
-@click.option("--patience", default=20.0, show_default=True, help="s to wait for its verdict")
-def fleet_propose(file: str, operator: str, base: int, by: str, why: str, patience: float) -> None:
-    """0: in force; 2: the file can't be used; 3: turned down, or nothing is known of it."""
-    from martentide.agreement.ruleset import RuleError, rules_from
-    from martentide.net.fleet.show import AskError, propose
-
-    try:
-        with open(file, "rb") as opened:
-            rules = json.load(opened)
-        rules_from(rules, file)
-    except (OSError, ValueError, RuleError) as error:
-        click.echo(
-            f"martentide: {file}: {error}" if file not in str(error) else f"martentide: {error}", err=True
-        )
-        sys.exit(BAD_CONFIG)
-    said = {"rules": rules, "file": file, "base": base, "by": by or os.environ.get("USER", ""), "why": why}
-    try:
-        verdict = propose(operator, said, patience)
-    except AskError as error:
-        click.echo(f"martentide: {operator}: {error}", err=True)
-        sys.exit(REFUSED)
-    click.echo(verdict["text"])
-    sys.exit(0 if verdict["done"] else REFUSED)
+add_to(fleet)
 
 
 def load_or_exit(config: str | None, extras: str | None) -> Config:
--- a/martentide/net/fleet/agreed.py
+++ b/martentide/net/fleet/agreed.py
@@ -438,17 +438,21 @@
     def members(self) -> list[dict[str, Any]]:
         """What all say of themselves, by their facets; ages in ms."""
         core, now = self.known_members(), self._now()
-        found = []
+        heard: list[tuple[str, Told, float]] = []
+        if self.told is not None:
+            heard.append((self.name, self.told, now - self.since))
         for word, facet, age in core.facets_of(FACET, now) if core is not None else ():
             try:
                 told = read_told(facet.body)
             except (msgspec.DecodeError, msgspec.ValidationError):
                 continue
-            found.append(
-                {"name": word.name, "version": told.version, "prepared": told.joint, "refused": told.refused,
-                 "acts": ("safe", "own settings", "agreed")[min(2, max(0, told.acts))],
-                 "since_ms": round(told.since + age), "list": f"{told.digest:08x}"}
-            )  # fmt: skip
+            heard.append((word.name, told, told.since + age))
+        found = [
+            {"name": name, "version": told.version, "prepared": told.joint, "refused": told.refused,
+             "acts": ("safe", "own settings", "agreed")[min(2, max(0, told.acts))],
+             "since_ms": round(since), "list": f"{told.digest:08x}"}
+            for name, told, since in heard
+        ]  # fmt: skip
         return sorted(found, key=lambda one: str(one["name"]))
 
     def status(self) -> str:
@@ -466,7 +470,8 @@
              "refused": core.no, "acts": acts, "lease_ms": max(0, round(core.until - now)),
              "list": f"{self.book.digest():08x}", "servers": len(self.book.servers),
              "past": [list(one) for one in books.past], "verdicts": self.verdicts,
-             "rules": self._shown(books.force.rules), "members": self.members()}
+             "rules": {str(one.number): self._shown(one.rules) for one in (*books.kept, books.force)},
+             "members": self.members()}
         )  # fmt: skip
 
 
--- a/martentide/net/fleet/show.py
+++ b/martentide/net/fleet/show.py
@@ -48,6 +48,51 @@
     raise AskError(f"nothing is known of it after {patience:g} s")
 
 
+def rules_of(said: dict[str, Any], number: int) -> dict[str, Any]:
+    """The rules of a version that is in force or was of late; raises AskError."""
+    found: dict[str, Any] | None = said["rules"].get(str(number))
+    if found is None:
+        known = ", ".join(name for name, rules in said["rules"].items() if rules) or "none"
+        raise AskError(f"version {number}: expected one whose rules are kept ({known})")
+    return found
+
+
+def differences(one: dict[str, Any], other: dict[str, Any]) -> list[str]:
+    """What differs between two rule sets, a line each; below, why they contradict each other."""
+    lines = []
+    flat = [_flat(rules) for rules in (one, other)]
+    for key in sorted({*flat[0], *flat[1]}):
+        a, b = (part.get(key, "-") for part in flat)
+        if a != b:
+            lines.append(f"{key}: {a} -> {b}")
+    from martentide.agreement.ruleset import contradictions, rules_from
+
+    return lines + [f"  {why}" for why in contradictions(rules_from(one, "one"), rules_from(other, "other"))]
+
+
+def _flat(data: dict[str, Any], above: str = "") -> dict[str, Any]:
+    found: dict[str, Any] = {}
+    for key, value in data.items():
+        if isinstance(value, dict):
+            found |= _flat(value, f"{above}{key}/")
+        else:
+            found[f"{above}{key}"] = value
+    return found
+
+
+def acting(status: str) -> str:
+    """A table: by what each member acts, since when, and which list it has."""
+    said: dict[str, Any] = json.loads(status)
+    lines = [f"{'member':<16} {'version':>7} {'acts by':<13} {'since':>9}  {'list':<9} prepared, refused"]
+    for one in said["members"]:
+        more = " ".join(str(one[key]) for key in ("prepared", "refused") if one[key])
+        lines.append(
+            f"{one['name']:<16} {one['version']:>7} {one['acts']:<13} {one['since_ms'] / 1000:>8.1f}s  "
+            f"{one['list']:<9} {more}".rstrip()
+        )
+    return "\n".join(lines)
+
+
 def versions(status: str) -> str:
     """A table of what ``VERSIONS`` tells."""
     said: dict[str, Any] = json.loads(status)
--- a/martentide_lab/fleet/agreeing.py
+++ b/martentide_lab/fleet/agreeing.py
@@ -78,6 +78,7 @@
         self.broken: list[str] = []
         self.refuse: dict[str, str] = {}  # members that turn versions down, and why
         self.safe_ms: dict[str, float] = dict.fromkeys(self.nodes, 0.0)
+        self.words_said: dict[str, tuple[int, int]] = {}  # and their bytes, by who said them
         self.looked = 0.0
         self.requests = itertools.count(1)
         self.turns: dict[str, float] = {}
@@ -127,7 +128,10 @@
         for action in one.handle(node.clock(self.now), event):
             match action:
                 case Tell(to, word):
-                    self._carry_word(name, to, write(word))
+                    body = write(word)
+                    said, size = self.words_said.get(name, (0, 0))
+                    self.words_said[name] = (said + 1, size + len(body))
+                    self._carry_word(name, to, body)
                 case Keep(kept):
                     self.disks[name] = kept
                 case Check(version):
--- a/martentide_lab/fleet/rig.py
+++ b/martentide_lab/fleet/rig.py
@@ -241,6 +241,12 @@
             self.record("displaced", name, name, life=int(said["life"]))
         elif "fleet-overload" in line:
             self.record("overload", name, name, phase=said["phase"], admitted=float(said["admitted"]))
+        elif "fleet-version" in line:
+            self.record("version", name, name, number=int(said["version"]), joint=int(said["joint"]),
+                        rules=said["rules"])  # fmt: skip
+        elif "fleet-in-force" in line:
+            detail = line.split("detail='", 1)[-1].split("'", 1)[0].split()
+            self.record("in-force", name, name, number=int(detail[1]), by=detail[3])
         elif "fleet-late" in line:
             self.record("late", name, name, span=float(said["ms"]))
         elif "fleet-passed-over" in line:
--- a/tests/agreement/test_processes.py
+++ b/tests/agreement/test_processes.py
@@ -208,6 +208,22 @@
         await acting(rig, 2)
         found = await asyncio.to_thread(called, "versions")
         assert "month end" in found.stdout and "acts by agreed" in found.stdout
+        found = await asyncio.to_thread(called, "diff", "1", "2")
+        assert (
+            found.exit_code == 1
+            and "attempts: 5 -> 2" in found.stdout
+            and "more than allowed" in found.stdout
+        )
+        found = await asyncio.to_thread(called, "diff", "1", "7")
+        assert found.exit_code == 3 and "version 7: expected one whose rules are kept (1, 2)" in found.stderr
+        found = await asyncio.to_thread(called, "rollback", "1")
+        assert found.exit_code == 0 and "version 3 is in force" in found.stdout
+        await acting(rig, 3)
+        found = await asyncio.to_thread(called, "rules")
+        assert json.loads(found.stdout)["attempts"] == 5
+        await asyncio.sleep(1.5)  # for the word of all
+        found = await asyncio.to_thread(called, "status")
+        assert found.stdout.count("agreed") == PROXIES and found.stdout.startswith("member")
         assert "learns" in versions(json.dumps(await said(rig, "n3")))
 
     versioned(tmp_path, scene)
