--- a/benchmarks/fleet_rules.py
+++ b/benchmarks/fleet_rules.py
@@ -1,10 +1,12 @@
 """Versions that a fleet agrees on, under faults: ``python -m benchmarks.fleet_rules [--faults N] [--short]``.
 
 Real processes in three zones, five of them voters, with load. First versions without faults; then faults
-drawn from a seed while versions are proposed all the while, each of which takes one server away. Whether two
-acted on rules that contradict each other is read from what came to that server after a proposer had heard
-that the version is in force; nothing of it from the proxies' own books. Last, one member is cut off: what
-safe rules serve there. Then 64 and 200 members in simulated time. The last line is ``RESULT {json}``.
+drawn from a seed while versions are proposed all the while: four in a row take the same server away, and
+allow one attempt or three (one server answers with errors, so that further ones are made). Whether two acted
+on rules that contradict each other is read from what came to the servers after a proposer had heard that the
+version is in force: calls with more attempts, and set-ups at the server that was taken away, but for those of
+members that were on safe rules just then, who use what answers them. Last, one member is cut off: what safe
+rules serve there. Then 64 and 200 members in simulated time. The last line is ``RESULT {json}``.
 """
 
 from __future__ import annotations
@@ -33,6 +35,7 @@
 LIMIT = 60.0  # s for what has to come
 BOUND = Terms().bound
 SERVERS = 6
+RUN = 4  # versions in a row that forbid the same: what acts against them can be seen for so long
 GAP = 1.0  # s between two proposals
 SAFE_FOR = 8.0  # s that one member is cut off at the end
 
@@ -48,25 +51,27 @@
     heard: float = 0.0
     done: bool = False
     number: int = 0
+    attempts: int = 3
 
 
-def rules(gone: int, bad: bool = False) -> dict[str, Any]:
+def rules(gone: int, attempts: int, bad: bool = False) -> dict[str, Any]:
     classes = {
         name: {"repeat": "harmless", "deadline_ms": deadline, "pools": None}
         for name, _, _, deadline in CLASSES
     }
     if bad:
         classes["no-such-class"] = classes.pop(CLASSES[0][0])
-    return {"attempts": 5, "classes": classes, "servers": {f"{NAMES[gone]}@0": "gone"}}
+    return {"attempts": attempts, "classes": classes, "servers": {f"{NAMES[gone]}@0": "gone"}}
 
 
 NAMES: list[str] = []
 
 
-async def put(rig: Rig, puts: list[Put], name: str, gone: int, bad: bool = False) -> Put:
-    one = Put(f"t{len(puts)}", gone, unix_ms())
+async def put(rig: Rig, puts: list[Put], name: str, bad: bool = False) -> Put:
+    turn = len(puts) // RUN
+    one = Put(f"t{len(puts)}", turn % SERVERS, unix_ms(), attempts=1 + 2 * (turn % 2))
     puts.append(one)
-    said = {"rules": rules(gone, bad), "base": -1, "by": one.token, "why": "measured"}
+    said = {"rules": rules(one.server, one.attempts, bad), "base": -1, "by": one.token, "why": "measured"}
     try:
         verdict = await asyncio.to_thread(propose, rig.proxies[name].operator, said, 16.0)
         one.heard, one.done, one.number = unix_ms(), verdict["done"], verdict["number"]
@@ -77,13 +82,11 @@
 
 async def keep_proposing(rig: Rig, puts: list[Put], dice: random.Random) -> None:
     """One proposal a gap, at whichever member runs; a tenth are bad."""
-    turn = 0
     while True:
         await asyncio.sleep(GAP)
         up = [name for name in rig.proxies if rig.proxies[name].operator]
-        turn += 1
         if up:
-            await put(rig, puts, dice.choice(up), turn % SERVERS, dice.random() < 0.1)
+            await put(rig, puts, dice.choice(up), dice.random() < 0.1)
 
 
 async def faults(rig: Rig, count: int, dice: random.Random) -> Counter[str]:
@@ -139,21 +142,50 @@
     return kinds
 
 
+def safe_spans(rig: Rig) -> dict[str, list[tuple[float, float]]]:
+    """By member, when it was on safe rules (Unix ms), until it acted on a version again."""
+    shift = unix_ms() - rig.now()
+    spans: dict[str, list[tuple[float, float]]] = {name: [] for name in rig.script.names()}
+    since: dict[str, float | None] = dict.fromkeys(spans)
+    for event in rig.log:
+        if event.kind not in ("started", "version"):
+            continue
+        safe = event.kind == "started" or event.fields["rules"] == "safe"
+        begin = since[event.who]
+        if safe and begin is None:
+            since[event.who] = event.at + shift
+        elif not safe and begin is not None:
+            spans[event.who].append((begin, event.at + shift + 50.0))
+            since[event.who] = None
+    for name, begin in since.items():
+        if begin is not None:
+            spans[name].append((begin, unix_ms()))
+    return spans
+
+
 def contradictions(rig: Rig, puts: list[Put]) -> tuple[float, int, int]:
-    """From what came to the servers: how long after a version was heard to be in force its server still got
-    something new, until the next one was proposed; how many of those came after the bound; how many at
-    all."""
-    longest, stale, count = 0.0, 0, 0
-    done = sorted((one for one in puts if one.done), key=lambda one: one.number)
-    for at, one in enumerate(done):
-        later = [other.at for other in puts if other.at > one.at and other.server != one.server]
-        until = min([other.at for other in done[at + 1 :]] + later + [unix_ms()])
+    """From what came to the servers: how long after a version was heard to be in force it was still acted
+    against, until the next one was proposed; how often that was after the bound; how often at all."""
+    against: list[float] = []
+    safe = safe_spans(rig)
+    owners = {call: name for name, load in rig.all_loads for call in load.calls}
+    came: dict[bytes, list[float]] = {}
+    for server in rig.servers:
+        for arrival in server.arrivals:
+            came.setdefault(arrival.call, []).append(arrival.at)
+    twice = [min(times) for times in came.values() if len(times) > 1]
+    for one in [one for one in puts if one.done]:
+        # What it forbids stays forbidden until a version that allows it again is proposed.
+        later = [other for other in puts if other.at > one.at]
+        until = min((other.at for other in later if other.attempts != one.attempts), default=unix_ms())
+        if one.attempts == 1:
+            against += [at - one.heard for at in twice if one.heard < at < until]
+        until = min((other.at for other in later if other.server != one.server), default=unix_ms())
         for arrival in rig.servers[one.server].arrivals:
-            if one.heard < arrival.at < until:
-                count += 1
-                longest = max(longest, arrival.at - one.heard)
-                stale += arrival.at - one.heard > BOUND
-    return longest, stale, count
+            spans = safe.get(owners.get(arrival.call, ""), [])
+            if one.heard < arrival.at < until and not any(a <= arrival.at <= b for a, b in spans):
+                against.append(arrival.at - one.heard)
+    return max(against, default=0.0), sum(at > BOUND for at in against), len(against)
 
 
 def books(rig: Rig, puts: list[Put]) -> tuple[int, int]:
@@ -235,14 +267,15 @@
         NAMES[:] = [server.name for server in rig.servers]
         for server in rig.servers:
             server.keep_arrivals = True
+        await rig.do(Step(0.0, "server", ("s0", "error")))
         await rig.until(rig.whole, LIMIT)
         puts: list[Put] = []
         async with asyncio.timeout(LIMIT):
             while not (puts and puts[-1].done):  # until there is a leader
-                await put(rig, puts, names[-1], 0)
+                await put(rig, puts, names[-1])
         took = []
-        for at in range(calm):
-            one = await put(rig, puts, dice.choice(names), (at + 1) % SERVERS)
+        for _ in range(calm):
+            one = await put(rig, puts, dice.choice(names))
             await asyncio.sleep(0.7)
             took.append(spread(rig, one.number, one.at) if one.done else -1.0)
         began, clock = rig.now(), rig.loop.time() * 1_000.0
@@ -255,6 +288,7 @@
         await asyncio.gather(proposing, return_exceptions=True)
         longest, stale, came = contradictions(rig, puts)
         await rig.until(rig.whole, LIMIT)
+        await rig.do(Step(0.0, "server", ("s0", "well")))
         # What safe rules serve: one member is cut off from the others, and from nothing else.
         alone = names[-1]
         await rig.do(Step(0.0, "split", (alone, ",".join(names[:-1]))))
@@ -265,6 +299,7 @@
         safe = worth([s for name, load in rig.all_loads if name == alone for s in load.stories], since, until)
         full = worth([s for name, load in rig.all_loads if name != alone for s in load.stories], since, until)
         await rig.do(Step(0.0, "heal"))
+        calls = [arrival.call for one in rig.servers for arrival in one.arrivals]
         lost, two = books(rig, puts)
         broken = rig.broken()
         for line in broken[:10]:
@@ -274,7 +309,9 @@
             "accepted": sum(one.done for one in puts),
             "turned_down": sum(bool(one.heard) and not one.done for one in puts), "faults": count,
             "kinds": dict(kinds), "contradiction_max_ms": round(longest), "bound_ms": BOUND,
-            "sends_after_force": came, "stale_sends": stale, "lost_acknowledged": lost, "two_in_force": two,
+            "against_in_force": came,
+            "further_attempts": len(calls) - len(set(calls)), "stale_sends": stale,
+            "lost_acknowledged": lost, "two_in_force": two,
             "in_force_p50_ms": quantile(took, 0.5), "in_force_p99_ms": quantile(took, 0.99),
             "calm_versions": len(took), "unavailable_s": unavailable(rig, began, ended),
             "span_s": round((ended - began) / 1_000.0), "safe_rules_worth": safe, "served_worth": full,
