Test versions under faults of disk, clock, stop, one-way cut and upgrade; end agreement once

Found by the cases: a member that handed over ended its agreement a second time at SIGTERM (an error in the log, and a folder closed twice); a disk that hangs at the start kept the member from its fleet (4 s now, then it only learns).

--- a/martentide/agreement/core.py
+++ b/martentide/agreement/core.py
@@ -303,10 +303,10 @@
     def lose_books(self, why: str) -> None:
         """What was to be kept could not be: until the next start this one only learns, for what it would say
         as a voter it might have forgotten by then."""
+        self.blanks[""] = True
         if self.raft is not None:
             self.raft, self.leads_since = None, None
             self.leases.clear()
-            self.blanks[""] = True
             self.actions.append(Noted("votes-no-more", why))
 
     # ---- time -------------------------------------------------------------------------------------------
--- a/martentide/net/fleet/agreed.py
+++ b/martentide/net/fleet/agreed.py
@@ -74,6 +74,7 @@
 
 MOST_QUEUED = 1_024  # actions that wait for the disk; a voter whose disk hangs says nothing meanwhile
 MOST_VERDICTS = 64
+OPEN_LIMIT = 4.0  # s for a folder to be opened, locked and read; later the voter only learns
 LOCK_TRIES, LOCK_GAP = 60, 0.05  # and s between two tries at a folder that a predecessor still holds
 LIST_GAP = 500.0  # ms between two questions for another member's list
 SAFE_LOOK = 0.25  # s between two looks at which servers answered, under safe rules
@@ -105,6 +106,7 @@
         self.acts = InForce(safe=True)
         self.last: RuleSet | None = None
         self.verdicts: OrderedDict[str, dict[str, Any]] = OrderedDict()
+        self.over = False
         self.numbers = 0
         self.handling = False
         self.book, self.mine = Book(), set[str]()  # servers by name that the own board told of
@@ -127,11 +129,19 @@
         kept, why = None, "no folder is set: what a voter knows ends with its process"
         if self.part.folder and self.name in self.part.voters:
             self.disk = ThreadPoolExecutor(1, "agreement")
-            kept, why = await self.loop.run_in_executor(self.disk, self._open)
+            opening = self.loop.run_in_executor(self.disk, self._open)
+            done, _ = await asyncio.wait([opening], timeout=OPEN_LIMIT)
+            kept, why = opening.result() if done else (None, f"{self.part.folder}: the disk hangs")
+            if self.over:
+                if self.folder is not None:
+                    self.folder.close()
+                return
         if why and self.name in self.part.voters:
             LOG.warning("agreement-without-books", detail=repr(why))
         terms = Terms(bound=self.part.bound_ms)
         self.core = Agreement(self.name, life, self.part.voters, terms, seed, self._now(), kept)
+        if self.part.folder and self.folder is None:
+            self.core.lose_books(why)  # what it said could not be kept
         log_event(
             "agreement-begins", voters=",".join(self.part.voters), votes=self.core.votes,
             disk=self.folder is not None, bound_ms=self.part.bound_ms,
@@ -156,6 +166,7 @@
 
     def end(self) -> None:
         """No word any more, and the folder is let go of."""
+        self.over = True
         for timer in (self.timer, self.looking):
             if timer is not None:
                 timer.cancel()
--- a/martentide/net/fleet/member.py
+++ b/martentide/net/fleet/member.py
@@ -162,8 +162,7 @@
 
             self.agreed = Agreed(self.part.agreement, self.name, self.decider, self._carry, lambda: self.core)
             await self.agreed.begin(self.core.me.life, seed)
-            if self.core is None:
-                self.agreed.end()
+            if self.core is None or self.agreed is None:
                 return  # retired while it read its books
         self._arm()
         self.looking = self.loop.call_later(LOOK / 1000.0, self._post_look)
@@ -178,6 +177,7 @@
             self.transport.close()
         if self.agreed is not None:
             self.agreed.end()
+            self.agreed = None
         if self.core is not None:
             log_event("fleet-retired")
         if self.overload is not None:
--- a/tests/agreement/test_processes.py
+++ b/tests/agreement/test_processes.py
@@ -247,6 +247,83 @@
     versioned(tmp_path, scene)
 
 
+Steps = list[tuple[Any, ...]]  # s to wait, the verb, its arguments; "put": propose at that member, and wait
+CASES: dict[str, Steps] = {
+    "stopped for 1 s in the joint phase": [(0.0, "stop", "n4"), (0.0, "put", "n3"), (1.0, "continue", "n4")],
+    "stopped for 3 s in the joint phase": [(0.0, "stop", "n4"), (0.0, "put", "n3"), (3.0, "continue", "n4")],
+    "stopped for 10 s": [(0.0, "stop", "n4"), (0.0, "put", "n3"), (10.0, "continue", "n4")],
+    "one-way cut of a voter": [(0.0, "cut", "n1", "n0,n2,n3,n4"), (0.0, "put", "n3"), (3.0, "heal")],
+    "one-way cut to a voter": [(0.0, "cut", "n0,n2,n3,n4", "n1"), (0.0, "put", "n3"), (3.0, "heal")],
+    "upgrade by hand-over in the joint phase": [
+        (0.0, "stop", "n4"), (0.0, "put", "n3"), (0.3, "upgrade", "n0"), (1.0, "upgrade", "n3"),
+        (2.0, "continue", "n4")],
+    "clocks that run fast and slow": [(0.0, "pace", "n4", 0.01), (0.0, "put", "n3"), (3.0, "put", "n4")],
+    "all voters down for 10 s": [
+        (0.0, "kill", "n0,n1,n2"), (10.0, "start", "n0,n1,n2"), (3.0, "put", "n4")],
+    "a disk that is full": [(0.0, "disk", "n1", "full"), (0.0, "put", "n3"), (2.0, "put", "n4")],
+    "a disk that hangs": [
+        (0.0, "disk", "n1", "hang"), (0.0, "put", "n3"), (3.0, "disk", "n1", ""), (0.0, "put", "n4")],
+}  # fmt: skip
+DISK = """
+import errno, os, time
+from martentide.net.learned import DiskFolder
+sync, write = DiskFolder.sync, DiskFolder.write
+def slow(self, name):
+    while os.path.exists(self.path + "/hang"):
+        time.sleep(0.05)
+    sync(self, name)
+def full(self, name, data):
+    if os.path.exists(self.path + "/full"):
+        raise OSError(errno.ENOSPC, "no space is left")
+    write(self, name, data)
+DiskFolder.sync, DiskFolder.write = slow, full
+"""
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_a_version_comes_into_force_and_nothing_acts_against_it(tmp_path: Path, case: str) -> None:
+    async def scene(rig: Rig) -> None:
+        await do(rig, "server", "s1", "error")
+        puts: list[asyncio.Task[dict[str, Any]]] = []
+        for wait, verb, *arguments in CASES[case]:
+            await asyncio.sleep(wait)
+            if verb == "put":
+                puts.append(asyncio.create_task(put(rig, arguments[0], rules(attempts=1))))
+            elif verb == "disk":
+                for word in ("hang", "full"):
+                    (tmp_path / arguments[0] / word).unlink(missing_ok=True)
+                if arguments[1]:
+                    (tmp_path / arguments[0] / arguments[1]).touch()
+            else:
+                await do(rig, verb, *arguments)
+        verdicts = [await one for one in puts]
+        assert verdicts[-1]["done"], verdicts
+        await acting(rig, max(one["number"] for one in verdicts))
+        since = unix_ms()
+        await asyncio.sleep(1.5)
+        assert not check_attempts(rig.servers, since, unix_ms(), 1, 50.0)
+        await do(rig, "server", "s1", "well")
+
+    versioned(tmp_path, scene, mutant=DISK, clocks={"n4": 0.0}, rate=80.0)
+
+
+def test_many_versions_a_tenth_of_them_bad(tmp_path: Path) -> None:
+    async def scene(rig: Rig) -> None:
+        done = 0
+        for at in range(30):
+            wanted = rules(attempts=1 + at % 3)
+            if at % 10 == 9:
+                wanted["classes"]["no-such-class"] = wanted["classes"].pop(CLASSES[0][0])
+                with pytest.raises(AskError, match="expected status-check"):
+                    await put(rig, f"n{at % PROXIES}", wanted)
+            else:
+                done += (await put(rig, f"n{at % PROXIES}", wanted))["done"]
+        assert done == 27
+        await acting(rig, 28)
+
+    versioned(tmp_path, scene)
+
+
 IGNORED = """
 import martentide.agreement.core as core
 core.Agreement.holds = lambda self, now: True
