--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -183,8 +183,10 @@
         if path == FLEET:
             return (200, self.member.status()) if self.member is not None else (404, "no fleet is set")
         if path in (VERSIONS, PROPOSE):
-            if self.member is None or self.member.agreed is None:
+            if self.member is None or self.member.part.agreement is None:
                 return 404, "no agreement is set"
+            if self.member.agreed is None:
+                return 503, "this process is no member: its successor is, or it joins just now"
             return self.member.agreed.ask(path, body)
         number = next(self.numbers)
         answer: asyncio.Future[tuple[int, str]] = self.loop.create_future()
