Replace a voter that lost its books: one voter less, then one under an id that is nobody's

Need: a voter whose disk was lost must not vote under its old id, whose votes were counted; with one more lost there was no majority and no way back.

Change: fleet replace-voter OLD NEW; the leader makes two changes of one voter each, and the member begins its books under NAME#INDEX.

--- a/martentide/agreement/core.py
+++ b/martentide/agreement/core.py
@@ -38,6 +38,7 @@
     Joint,
     News,
     Proposal,
+    Replace,
     Verdict,
     Version,
     Word,
@@ -48,6 +49,7 @@
 )
 
 MOST_KEPT, MOST_KEPT_BYTES = 8, 16_000  # versions before the one in force, for those who want one back
+SEPARATOR = "#"  # in the id of a voter that took another's place
 MOST_MET = 64  # voters, present and past
 MOST_PAST = 16  # versions of which the books tell what became
 MOST_LEASES = 4_096  # members that a leader grants leases to
@@ -118,7 +120,16 @@
     no: str
 
 
-Event = Heard | Due | Propose | Checked
+@dataclass(frozen=True, slots=True)
+class ReplaceVoter:
+    """Somebody wants the member ``new`` to vote in the place of the id ``old``."""
+
+    request: str
+    old: Name
+    new: Name
+
+
+Event = Heard | Due | Propose | Checked | ReplaceVoter
 
 # ---- actions --------------------------------------------------------------------------------------------
 
@@ -188,9 +199,9 @@
 
 @dataclass(slots=True)
 class Wanted:
-    """A proposal made here, until its verdict is known."""
+    """What was asked for here, until its verdict is known."""
 
-    proposal: Proposal
+    proposal: Proposal | Replace
     since: float
     said: float
 
@@ -229,6 +240,7 @@
         self.books = NO_BOOKS
         self.leases: OrderedDict[Name, Leased] = OrderedDict()
         self.joint_at = -raft.FOREVER
+        self.joining: Name = ""  # who becomes a voter once another has ceased to be one
         self.deciding = 0  # index of the last entry of the own; nothing is granted until it is committed
         self.leads_since: float | None = None  # of an entry of its own term that is committed
         self.wanted: dict[str, Wanted] = {}
@@ -295,6 +307,8 @@
                 self._propose(event)
             case Checked(number, no):
                 self._checked(number, no)
+            case ReplaceVoter(request, old, new):
+                self._want(Replace(f"{self.name}/{self.life}/{request}", old, new))
             case Due():
                 pass
         self._run()
@@ -343,7 +357,7 @@
         word = Ask(self.now, self.life, self.known.index, self.prepared, self.refused, self.no)
         self._to_leader(word)
 
-    def _to_leader(self, word: Ask | Proposal) -> None:
+    def _to_leader(self, word: Ask | Proposal | Replace) -> None:
         """To the leader if one is known, else to one voter after the other; the own one needs no network."""
         if not self.leader or self.now - max(self.asked, self.hinted) > 1.5 * self.terms.ask:
             self.turn += 1
@@ -355,7 +369,7 @@
 
     def _granted(self, sender: Name, grant: Grant) -> None:
         if grant.lease <= 0.0:
-            if grant.leader != self.leader and grant.leader in self.voters:
+            if grant.leader and grant.leader != self.leader:
                 self.leader, self.hinted = grant.leader, self.now
                 self.ask_due = min(self.ask_due, self.now + HINT_GAP)
             return
@@ -455,6 +469,8 @@
                     self.actions.append(Answered(request, done, number, text))
             case Blank():
                 self._blank(sender, word)
+            case Replace():
+                self._replace(sender, word)
             case News(index) if self.known.index < index <= self.known.index + MOST_AHEAD:
                 self.ask_due = min(self.ask_due, self.now)
 
@@ -498,21 +514,32 @@
             self.blanks[sender] = word.met
 
     def _ballot(self, sender: Name, body: bytes) -> None:
-        if self.raft is None:
-            return
         try:
             message = raft.read_message(body)
         except (msgspec.DecodeError, msgspec.ValidationError):
             return
-        if message.sender != sender:
+        if name_of(message.sender) != sender or name_of(message.to) != self.name:
+            return
+        if self.raft is None and not self._begin_under(message):
             return
-        if sender not in self.met and len(self.met) < MOST_MET:
+        assert self.raft is not None
+        if name_of(message.sender) not in self.met and len(self.met) < MOST_MET:
             self.met.add(sender)
             self.actions.append(
                 self._keep()
             )  # before its vote counts: should it lose its disk, it votes no more
         self._raft(raft.Told(message))
 
+    def _begin_under(self, message: raft.Message) -> bool:
+        """A leader's word to a new id of this member: it votes under that one, of which nobody counted a
+        vote."""
+        appended = message.say in (raft.Say.APPEND, raft.Say.SNAPSHOT)
+        if not appended or SEPARATOR not in message.to or "" in self.blanks:
+            return False
+        self._vote(raft.fresh(message.to, ()))
+        self.actions += [self._keep(), Noted("votes", f"as {message.to}, in the place of another")]
+        return True
+
     def _keep(self) -> Keep:
         assert self.raft is not None
         return Keep(Kept(self.raft.saved(), tuple(sorted(self.met))))
@@ -522,7 +549,7 @@
         for action in self.raft.handle(self.now, event):
             match action:
                 case raft.Send(message):
-                    self.actions.append(Tell(message.to, Ballot(raft.write_message(message))))
+                    self.actions.append(Tell(name_of(message.to), Ballot(raft.write_message(message))))
                 case raft.Save():
                     self.actions.append(self._keep())
                 case raft.Apply(index, entry):
@@ -530,7 +557,7 @@
                 case raft.Install(snapshot):
                     self.books = read_books(snapshot.state) if snapshot.state else NO_BOOKS
                 case raft.Led(leads, term):
-                    self.leads_since, self.deciding = None, 0
+                    self.leads_since, self.deciding, self.joining = None, 0, ""
                     self.leases.clear()
                     self.actions.append(Noted("leads" if leads else "leads-no-more", f"term {term}"))
         if self.books.index - self.raft.snapshot.index >= COMPACT:
@@ -586,7 +613,7 @@
 
     def _asked_for(self, sender: Name, ask: Ask) -> None:
         if not self._leads():
-            leader = self.raft.leader if self.raft is not None else ""
+            leader = name_of(self.raft.leader) if self.raft is not None else ""
             if sender != self.name:
                 hint = leader if leader != self.name else ""
                 self.actions.append(Tell(sender, Grant(ask.stamp, 0.0, 0, hint)))
@@ -620,6 +647,10 @@
             if one.ends > self.now:
                 break
             del self.leases[name]
+        if self.joining and self._leads() and not self._pending():
+            assert self.raft is not None
+            new, self.joining = f"{self.joining}{SEPARATOR}{self.raft.last}", ""
+            self._raft(raft.ChangeVoters((*self.raft.voters, new)))
         joint = self.books.joint
         if joint is None or not self._leads() or self.leads_since is None or self._pending():
             return
@@ -661,8 +692,11 @@
             return
         request = f"{self.name}/{self.life}/{event.request}"
         proposal = Proposal(request, event.base, event.rules, event.by[:64], event.why[:MOST_WHY])
-        self.wanted[request] = Wanted(proposal, self.now, self.now)
-        self._to_leader(proposal)
+        self._want(proposal)
+
+    def _want(self, word: Proposal | Replace) -> None:
+        self.wanted[word.request] = Wanted(word, self.now, self.now)
+        self._to_leader(word)
 
     def _proposed(self, sender: Name, proposal: Proposal) -> None:
         """Said again until its verdict comes, so it is taken once by its request."""
@@ -689,6 +723,24 @@
             )
             self._log(Joint(version))
 
+    def _replace(self, sender: Name, word: Replace) -> None:
+        """First one voter less, then one more: each a change of one, after the other is committed."""
+        if not self._leads() or self._pending() or self.joining:
+            return
+        assert self.raft is not None
+        voters = self.raft.voters
+        if any(name_of(one) == word.new for one in voters if one != word.old):
+            text = f"{word.new} votes already; voters: {', '.join(voters)}"
+            self._say(sender, Verdict(word.request, word.old not in voters, 0, text))
+        elif word.old in voters and len(voters) > 1 and word.old != self.raft.me:
+            self.joining = word.new
+            self._raft(raft.ChangeVoters(tuple(one for one in voters if one != word.old)))
+        elif word.old in voters:
+            text = f"{word.old} leads: ask again once another does"
+            self._say(sender, Verdict(word.request, False, 0, text))
+        else:
+            self.joining = word.new
+
     def _turned_down(self, proposal: Proposal) -> str:
         force, joint = self.books.force, self.books.joint
         try:
@@ -712,3 +764,8 @@
     while len(kept) > MOST_KEPT or sum(len(one.rules) for one in kept) > MOST_KEPT_BYTES:
         del kept[0]
     return tuple(kept)
+
+
+def name_of(voter: Name) -> Name:
+    """The member that bears the id."""
+    return voter.partition(SEPARATOR)[0]
--- a/martentide/agreement/store.py
+++ b/martentide/agreement/store.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from martentide.agreement.core import Kept
+from martentide.agreement.core import Kept, name_of
 from martentide.learned.files import OLD, STATE
 from martentide.learned.recovery import Found
 
@@ -54,6 +54,6 @@
         kept = read_kept(chosen.raw)
     except ValueError as error:
         return None, f"{chosen.name}: {error}"
-    if kept.saved.me != me:
+    if name_of(kept.saved.me) != me:
         return None, f"{chosen.name}: expected the books of {me}, found those of {kept.saved.me}"
     return kept, ""
--- a/martentide/agreement/words.py
+++ b/martentide/agreement/words.py
@@ -109,6 +109,15 @@
     met: bool
 
 
+class Replace(msgspec.Struct, array_like=True, frozen=True, tag="replace"):
+    """A voter that has lost its books is to make room for the member ``new``, under an id that is
+    nobody's."""
+
+    request: str
+    old: Name
+    new: Name
+
+
 class News(msgspec.Struct, array_like=True, frozen=True, tag="news"):
     """A leader's books go to ``index`` now: ask for them."""
 
@@ -125,7 +134,7 @@
     records: list[Record]
 
 
-Word = Ask | Grant | Ballot | Proposal | Verdict | Blank | News | WantList | TheList
+Word = Ask | Grant | Ballot | Proposal | Verdict | Blank | Replace | News | WantList | TheList
 _ENCODER = msgspec.msgpack.Encoder()
 _WORDS, _COMMANDS = msgspec.msgpack.Decoder(Word), msgspec.msgpack.Decoder(Command)
 _BOOKS = msgspec.msgpack.Decoder(Books)
--- a/martentide/lifecycle/calls.py
+++ b/martentide/lifecycle/calls.py
@@ -2,8 +2,9 @@
 
 READY, OUT_OF_SERVICE, IN_SERVICE = "/control/ready", "/control/out-of-service", "/control/in-service"
 FLEET, VERSIONS, PROPOSE = "/control/fleet", "/control/fleet/versions", "/control/fleet/propose"
+VOTERS = "/control/fleet/voters"
 METHODS = {
     READY: ("GET", "HEAD"), OUT_OF_SERVICE: ("POST",), IN_SERVICE: ("POST",), FLEET: ("GET",),
-    VERSIONS: ("GET",), PROPOSE: ("POST",),
+    VERSIONS: ("GET",), PROPOSE: ("POST",), VOTERS: ("POST",),
 }  # fmt: skip
 MOST_BODIES = {PROPOSE: 48 * 1024}  # bytes of a body that means something
--- a/martentide/net/fleet/agreed.py
+++ b/martentide/net/fleet/agreed.py
@@ -17,6 +17,7 @@
 
 from martentide.agreement import core as agreement
 from martentide.agreement.core import (
+    SEPARATOR,
     Act,
     Action,
     Agreement,
@@ -28,6 +29,7 @@
     Keep,
     Noted,
     Propose,
+    ReplaceVoter,
     Tell,
     Terms,
 )
@@ -64,7 +66,7 @@
     Stands,
 )
 from martentide.learned.files import load, save
-from martentide.lifecycle.calls import VERSIONS
+from martentide.lifecycle.calls import VERSIONS, VOTERS
 from martentide.net.decider import Decider, Probing
 from martentide.net.endings import LOG, log_event
 from martentide.net.learned import DiskFolder
@@ -409,6 +411,8 @@
             return 503, "not a member yet"
         if path == VERSIONS:
             return 200, self.status()
+        if path == VOTERS:
+            return self._replace(body)
         try:
             said = json.loads(body)
             rules = rules_from(said.get("rules"), str(said.get("file") or "rules"))
@@ -421,6 +425,18 @@
             return 400, f"{said.get('file') or 'rules'}: {no}"
         return 202, self.propose(rules, base, by, why)
 
+    def _replace(self, body: bytes) -> tuple[int, str]:
+        try:
+            said = json.loads(body)
+            old, new = str(said["old"]), str(said["new"])
+        except (ValueError, KeyError, TypeError) as error:
+            return 400, f"expected JSON with old and new: {error!r}"
+        if not 1 <= len(new) <= 64 or SEPARATOR in new:
+            return 400, f"new: expected a member's name, found {new!r}"
+        self.numbers += 1
+        self.feed(ReplaceVoter(str(self.numbers), old, new))
+        return 202, str(self.numbers)
+
     def propose(self, rules: RuleSet, base: int, by: str, why: str) -> str:
         """The number under which ``versions`` will tell what became of it."""
         self.numbers += 1
@@ -473,8 +489,9 @@
         books, now = core.known, self._now()
         acts = "safe" if self.acts.safe else "own settings" if self.acts.rules is None else "agreed"
         joint = books.joint
+        voters = list(core.raft.voters if core.raft is not None else self.part.voters)
         return json.dumps(
-            {"name": self.name, "voters": list(self.part.voters), "votes": core.votes, "leader": core.leader,
+            {"name": self.name, "voters": voters, "votes": core.votes, "leader": core.leader,
              "leads": core.raft is not None and core.raft.leads(now), "disk": self.folder is not None,
              "version": books.force.number, "by": books.force.by, "why": books.force.why,
              "joint": None if joint is None else joint.number, "prepared": core.prepared,
--- a/martentide/net/fleet/show.py
+++ b/martentide/net/fleet/show.py
@@ -36,9 +36,10 @@
     return text.strip()
 
 
-def propose(operator: str, said: dict[str, Any], patience: float) -> dict[str, Any]:
-    """Propose a version there and wait for its verdict, for so many s; raises AskError."""
-    number = ask(operator, PROPOSE, json.dumps(said).encode())
+def propose(operator: str, said: dict[str, Any], patience: float, path: str = PROPOSE) -> dict[str, Any]:
+    """Propose a version there (or what ``path`` takes) and wait for its verdict, for so many s; raises
+    AskError."""
+    number = ask(operator, path, json.dumps(said).encode())
     end = time.monotonic() + patience
     while time.monotonic() < end:
         verdict: dict[str, Any] | None = json.loads(ask(operator, VERSIONS))["verdicts"].get(number)
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -27,7 +27,7 @@
 )
 from martentide.interface import ColdShare, Ending, ListKind, ProbeEnded, ServerState, Settings
 from martentide.lifecycle import machine
-from martentide.lifecycle.calls import FLEET, OUT_OF_SERVICE, PROPOSE, READY, VERSIONS
+from martentide.lifecycle.calls import FLEET, OUT_OF_SERVICE, PROPOSE, READY, VERSIONS, VOTERS
 from martentide.lifecycle.machine import Machine
 from martentide.net.board import Board, Moved
 from martentide.net.callers import Callers
@@ -182,7 +182,7 @@
             return (200, "ready") if self.machine.ready else (503, self.machine.phase.value)
         if path == FLEET:
             return (200, self.member.status()) if self.member is not None else (404, "no fleet is set")
-        if path in (VERSIONS, PROPOSE):
+        if path in (VERSIONS, PROPOSE, VOTERS):
             if self.member is None or self.member.part.agreement is None:
                 return 404, "no agreement is set"
             if self.member.agreed is None:
--- a/martentide/versions.py
+++ b/martentide/versions.py
@@ -134,6 +134,24 @@
     put(operator, wanted, f"version {number}", said["version"], by, f"rollback to version {number}", patience)
 
 
+@click.command("replace-voter", help="Have member NEW vote in the place of voter OLD, which lost its books.")
+@click.argument("old")
+@click.argument("new")
+@OPERATOR
+@PATIENCE
+def replace_voter(old: str, new: str, operator: str, patience: float) -> None:
+    from martentide.lifecycle.calls import VOTERS
+    from martentide.net.fleet.show import AskError, propose
+
+    try:
+        verdict = propose(operator, {"old": old, "new": new}, patience, VOTERS)
+    except AskError as error:
+        fail(f"{operator}: {error}", REFUSED)
+        raise
+    click.echo(verdict["text"])
+    sys.exit(0 if verdict["done"] else REFUSED)
+
+
 def add_to(group: click.Group) -> None:
-    for command in (propose, versions, status, rules, diff, rollback):
+    for command in (propose, versions, status, rules, diff, rollback, replace_voter):
         group.add_command(command)
--- a/tests/agreement/test_versions.py
+++ b/tests/agreement/test_versions.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from martentide.agreement.core import Agreement, Kept, Propose, Terms
+from martentide.agreement.core import Agreement, Kept, Propose, ReplaceVoter, Terms
 from martentide.agreement.parts import MOST_PARTS, PART, Joiner, Splitter
 from martentide.agreement.raft import fresh
 from martentide.agreement.store import read_kept, recover, write_kept
@@ -183,6 +183,28 @@
     assert verdict(fleet, "n4", rule_set(3))[0] and "n1" in fleet.acting()
 
 
+@pytest.mark.parametrize("new", ["n1", "n4"])
+def test_a_voter_whose_disk_was_lost_is_replaced(new: str) -> None:
+    fleet = begun()
+    assert verdict(fleet, "n4", rule_set(3))[0]
+    lost = "n1" if leader(fleet) != "n1" else "n2"
+    new = lost if new == "n1" else new
+    do(fleet, "kill", lost)
+    fleet.lose_disk(lost)
+    do(fleet, "start", lost, lasts=2_000.0)
+    fleet.agree("n3", ReplaceVoter("r", lost, new))
+    fleet.run(fleet.now + 3_000.0)
+    assert [one.done for one in fleet.voiced] == [True, True]
+    votes = [one.raft.voters for one in fleet.agreements.values() if one.raft is not None]
+    assert len(votes) == 3 and len(set(votes)) == 1 and any(one.startswith(f"{new}#") for one in votes[0])
+    other = next(one for one in ("n0", "n1", "n2") if one not in (lost, leader(fleet)))
+    do(fleet, "kill", other, lasts=3_000.0)  # the new one is needed for a majority now
+    assert verdict(fleet, "n4", rule_set(1))[0]
+    do(fleet, "kill", new)
+    do(fleet, "start", f"{new},{other}", lasts=4_000.0)
+    assert verdict(fleet, "n3", rule_set(2))[0] and not fleet.finish()
+
+
 def test_a_member_that_stood_still_for_5_s_wakes_in_the_joint_phase_safely() -> None:
     fleet = begun()
     assert verdict(fleet, "n4", rule_set(3))[0]
