--- a/benchmarks/fleet_overload.py
+++ b/benchmarks/fleet_overload.py
@@ -94,11 +94,24 @@
     }  # fmt: skip
 
 
+# Faults beside the surge: s after its begin, verb, arguments.
+FAULTS: dict[str, tuple[tuple[Any, ...], ...]] = {
+    "none": (),
+    "split": ((1.0, "split", "n0,n1,n2,n3,n4,n5,n6,n7", "n8,n9,n10,n11"), (7.0, "heal")),
+    "stopped": ((1.0, "stop", "n3"), (4.0, "continue", "n3")),
+    "killed": ((2.0, "kill", "n0,n1,n2,n3,n4,n5,n6,n7"), (2.5, "start", "n0,n1,n2,n3,n4,n5,n6,n7")),
+    "late": ((0.0, "delay", 2_000, 100), (8.0, "delay", 0, 2)),
+    "hung": ((1.0, "server", "s0", "hung"), (7.0, "server", "s0", "well")),
+}
+
+
 async def real(
-    processes: int, servers: int, extra: str | None, seed: int
+    processes: int, servers: int, extra: str | None, seed: int, fault: str = "none"
 ) -> tuple[dict[str, float], list[float], Chances]:
     capacity = RATE * servers
-    steps = (Step(1000 * BEGIN, "surge", (SURGE,)), Step(1000 * (BEGIN + SPAN), "surge", (1.0,)))
+    surge = (Step(1000 * BEGIN, "surge", (SURGE,)), Step(1000 * (BEGIN + SPAN), "surge", (1.0,)))
+    more = (Step(1000 * (BEGIN + at), verb, tuple(rest)) for at, verb, *rest in FAULTS[fault])
+    steps = tuple(sorted((*surge, *more), key=lambda step: step.at))
     script = Script(
         proxies=processes, servers=servers, seconds=END, seed=seed, rate=USE * capacity, steps=steps
     )
@@ -209,6 +222,7 @@
 @click.option("--variants", default="alone,duty,fleet", show_default=True)
 @click.option("--sizes", default="8,12,50,200", show_default=True, help="proxies in simulated time")
 @click.option("--parts", default=12, show_default=True, help="proxies in simulated time, a part left out")
+@click.option("--faults", default="none", show_default=True, help=f"beside the surge: {', '.join(FAULTS)}")
 @click.option("--chart", default=None, help="file without its ending; needs matplotlib")
 @click.option("--short", is_flag=True, help="4 processes, 3 servers, one seed; asserts the counts only")
 def main(
@@ -218,6 +232,7 @@
     variants: str,
     sizes: str,
     parts: int,
+    faults: str,
     chart: str | None,
     short: bool,
 ) -> None:
@@ -237,17 +252,19 @@
         print(json.dumps({"size": parts, "without": part, **found}), flush=True)
     lines: dict[str, list[list[float]]] = {}
     chances: dict[str, list[Chances]] = {}
-    real_plays: dict[str, list[dict[str, float]]] = {variant: [] for variant in chosen}
-    for seed in range(1, seeds + 1):
-        for variant in chosen if processes else ():
-            play, line, seen = asyncio.run(real(processes, servers, VARIANTS[variant], seed))
-            lines.setdefault(variant, []).append(line)
-            real_plays[variant].append(play)
-            chances.setdefault(variant, []).append(seen)
-            print(json.dumps({"seed": seed, "variant": variant, **play}), flush=True)
-    for variant, kept in real_plays.items():
+    real_plays: dict[str, list[dict[str, float]]] = {}
+    plays_of = [(fault, seed, variant) for fault in faults.split(",") for seed in range(1, seeds + 1)
+                for variant in chosen]  # fmt: skip
+    for fault, seed, variant in plays_of if processes else ():
+        play, line, seen = asyncio.run(real(processes, servers, VARIANTS[variant], seed, fault))
+        name = variant if fault == "none" else f"{variant}-{fault}"
+        lines.setdefault(name, []).append(line)
+        real_plays.setdefault(name, []).append(play)
+        chances.setdefault(name, []).append(seen)
+        print(json.dumps({"seed": seed, "variant": name, **play}), flush=True)
+    for name, kept in real_plays.items():
         if kept:
-            result[f"real-{variant}"] = summary(kept, chances[variant])
+            result[f"real-{name}"] = summary(kept, chances[name])
     if chart is not None:
         draw(chart, lines)
     if short:
