--- a/martentide/failover/plan.py
+++ b/martentide/failover/plan.py
@@ -1,9 +1,9 @@
 """Shares from each zone to each, for each class: a linear program, the same plan from the same inputs.
 
-Near while the near servers stay under a stated load, then by cost; a slice of a zone's capacity is kept for
-the worthiest class; what fits nowhere is refused at once. Capacity is what a zone can do now, with the ramp of
-cold and returning servers in it; a lost zone has none. The constraints form a flow network, so that the optimum
-is exact; ties are broken by the order of names. Needs ``highspy`` (the extra ``failover``).
+Near while the near servers stay under a stated load, then by cost; a slice of a zone's capacity is kept
+for the worthiest class; what fits nowhere is refused at once. Capacity is what a zone can do now, with the
+ramp of cold and returning servers in it; a lost zone has none. The constraints form a flow network, so that
+the optimum is exact; ties are broken by the order of names. Needs ``highspy`` (the extra ``failover``).
 """
 
 from __future__ import annotations
