Find a leader that is no voter of the settings; a learner opens its folder, as it may be made a voter

Found by replacing a lost voter by a member that only learned, and killing another: a follower that knew the leader from its own books dropped that again at its next question, as only the settings' voters were asked in turn; and a learner had no folder for the books it was to begin. Test: the replaced voter is killed, started again and needed for the majority.

--- a/martentide/agreement/core.py
+++ b/martentide/agreement/core.py
@@ -369,9 +369,7 @@
 
     def _granted(self, sender: Name, grant: Grant) -> None:
         if grant.lease <= 0.0:
-            if grant.leader and grant.leader != self.leader:
-                self.leader, self.hinted = grant.leader, self.now
-                self.ask_due = min(self.ask_due, self.now + HINT_GAP)
+            self._hinted(grant.leader)
             return
         books = grant.books or self.known
         if not self.asked < grant.stamp <= self.now or books.index < self.known.index:
@@ -387,6 +385,12 @@
         if self.now < self.until:
             self._act()
 
+    def _hinted(self, leader: Name) -> None:
+        """A voter, or the own books, name the leader."""
+        if leader and leader != self.leader:
+            self.leader, self.hinted = leader, self.now
+            self.ask_due = min(self.ask_due, self.now + HINT_GAP)
+
     def _usable(self, books: Books) -> bool:
         """Whether the rule sets in it can be read here."""
         try:
@@ -617,8 +621,8 @@
             if sender != self.name:
                 hint = leader if leader != self.name else ""
                 self.actions.append(Tell(sender, Grant(ask.stamp, 0.0, 0, hint)))
-            elif leader and leader != self.name:
-                self.leader = leader
+            elif leader != self.name:
+                self._hinted(leader)
             return
         known = self.leases.get(sender)
         if known is None and len(self.leases) >= MOST_LEASES:
--- a/martentide/net/fleet/agreed.py
+++ b/martentide/net/fleet/agreed.py
@@ -129,7 +129,7 @@
         self._join(Notice(0, False, tuple(self.decider.listed.values())))
         self._enter(InForce(safe=True))
         kept, why = None, "no folder is set: what a voter knows ends with its process"
-        if self.part.folder and self.name in self.part.voters:
+        if self.part.folder:  # also one that only learns: it may be made a voter, or have been
             self.disk = ThreadPoolExecutor(1, "agreement")
             opening = self.loop.run_in_executor(self.disk, self._open)
             done, _ = await asyncio.wait([opening], timeout=OPEN_LIMIT)
--- a/tests/agreement/test_processes.py
+++ b/tests/agreement/test_processes.py
@@ -177,7 +177,8 @@
     versioned(tmp_path, scene)
 
 
-def test_a_voter_whose_disk_is_emptied_learns_only(tmp_path: Path) -> None:
+@pytest.mark.parametrize("new", ["n1", "n3"])
+def test_a_voter_whose_disk_is_emptied_learns_only_until_replaced(tmp_path: Path, new: str) -> None:
     async def scene(rig: Rig) -> None:
         await do(rig, "kill", "n1")
         for file in (tmp_path / "n1").iterdir():
@@ -187,10 +188,15 @@
         assert not (await said(rig, "n1"))["votes"]
         found = await asyncio.to_thread(
             CliRunner().invoke,
-            top, ["fleet", "replace-voter", "n1", "n1", "--operator", rig.proxies["n4"].operator],
+            top, ["fleet", "replace-voter", "n1", new, "--operator", rig.proxies["n4"].operator],
         )  # fmt: skip
-        assert found.exit_code == 0 and "n1 votes already" in found.stdout, found.output
-        assert (await said(rig, "n1"))["votes"]
+        assert found.exit_code == 0 and f"{new} votes already" in found.stdout, found.output
+        assert (await said(rig, new))["votes"]
+        await do(rig, "kill", "n0")  # one of the three that vote
+        await do(rig, "kill", new)
+        await do(rig, "start", new)  # with the books that it began
+        await acting(rig, 1)
+        assert (await said(rig, new))["votes"]
         assert (await put(rig, "n1", rules(attempts=2)))["done"]
 
     versioned(tmp_path, scene)
