--- a/martentide/codec/control.py
+++ b/martentide/codec/control.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A call that can be carried out: one of the paths above."""
+    """A call that can be carried out: one of the paths above; ``body`` where it means something."""
 
     path: str
     body: bytes = b""
@@ -79,7 +79,7 @@
             return Refused(404, f"no such call; there are {', '.join(METHODS)}")
         if method not in METHODS[path]:
             return Refused(405, f"{path} takes {' or '.join(METHODS[path])}", METHODS[path])
-        return Request(path, bytes(self.body))
+        return Request(path, bytes(self.body) if path in MOST_BODIES else b"")
 
     def answer(self, status: int, text: str, allow: tuple[str, ...] = ()) -> bytes:
         """The whole answer, after which the connection is closed."""
