--- a/tests/overload/test_processes.py
+++ b/tests/overload/test_processes.py
@@ -112,10 +112,12 @@
 
 def test_a_cold_server_that_both_sides_of_a_split_feed_stays_within_its_limit() -> None:
     async def scene(rig: Rig) -> None:
-        cold = rig.servers[0]
         await do(rig, "split", "n0,n1,n2", "n3,n4,n5")
         await asyncio.sleep(2.0)
-        cold.script.cold_from = unix_ms()
+        cold = SessionServer(SERVERS)
+        rig.servers.append(cold)
+        await cold.start()
+        cold.script.rate, cold.script.cold_from = RATE, unix_ms()
         rig.board.tell([(cold, READY)], started=int(cold.script.cold_from))
         await asyncio.sleep(5.0)
         assert len(cold.arrivals) > 0 and cold_use(cold) <= 1.0
