--- a/tests/agreement/test_processes.py
+++ b/tests/agreement/test_processes.py
@@ -275,8 +275,8 @@
         (0.0, "stop", "n4"), (0.0, "put", "n2"), (0.3, "upgrade", "n0"), (1.0, "upgrade", "n3"),
         (2.0, "continue", "n4")],
     "clocks that run fast and slow": [(0.0, "pace", "n4", 0.01), (0.0, "put", "n3"), (3.0, "put", "n4")],
-    "all voters down for 10 s": [
-        (0.0, "kill", "n0,n1,n2"), (10.0, "start", "n0,n1,n2"), (3.0, "put", "n4")],
+    "all voters down for 30 s": [
+        (0.0, "kill", "n0,n1,n2"), (30.0, "start", "n0,n1,n2"), (3.0, "put", "n4")],
     "a disk that is full": [(0.0, "disk", "n1", "full"), (0.0, "put", "n3"), (2.0, "put", "n4")],
     "a disk that hangs": [
         (0.0, "disk", "n1", "hang"), (0.0, "put", "n3"), (3.0, "disk", "n1", ""), (0.0, "put", "n4")],
@@ -327,7 +327,7 @@
 def test_many_versions_a_tenth_of_them_bad(tmp_path: Path) -> None:
     async def scene(rig: Rig) -> None:
         done = 0
-        for at in range(30):
+        for at in range(50):
             wanted = rules(attempts=1 + at % 3)
             if at % 10 == 9:
                 wanted["classes"]["no-such-class"] = wanted["classes"].pop(CLASSES[0][0])
@@ -335,8 +335,8 @@
                     await put(rig, f"n{at % PROXIES}", wanted)
             else:
                 done += (await put(rig, f"n{at % PROXIES}", wanted))["done"]
-        assert done == 27
-        await acting(rig, 28)
+        assert done == 45
+        await acting(rig, 46)
 
     versioned(tmp_path, scene)
 
@@ -366,6 +366,35 @@
 core.Agreement.holds = lambda self, now: time.time() * 1000.0 < getattr(self, "wall", 0.0)
 core.Agreement._lapse = lapse
 """
+
+
+def test_half_of_the_fleet_on_a_program_without_agreement_neither_holds_it_up_nor_is_held(
+    tmp_path: Path,
+) -> None:
+    async def scene(rig: Rig) -> None:
+        named = ("n0", "n1", "n2")
+        async with asyncio.timeout(LIMIT):
+            while (await said(rig, "n0"))["acts"] != "own settings":
+                await asyncio.sleep(0.1)
+        assert (await put(rig, "n1", rules(gone=(rig.servers[0].name,))))["done"]
+        await acting(rig, 1, *named)
+        names = ",".join(rig.script.names())
+        await do(rig, "kill", names)
+        await do(rig, "start", names)
+        await rig.until(rig.whole, LIMIT)
+        await acting(rig, 1, *named)
+        with pytest.raises(AskError, match="no agreement is set"):
+            await said(rig, "n4")
+        since, owners = unix_ms(), {name: load for name, load in rig.loads.items()}
+        await asyncio.sleep(2.0)
+        late = [one.call for one in rig.servers[0].arrivals if one.at > since]
+        assert late and all(any(call in owners[name].calls for name in ("n3", "n4")) for call in late)
+
+    extra = {name: f'agreement {{ voters "n0" "n1" "n2"; folder "{tmp_path}/{name}" }}' for name in
+             ("n0", "n1", "n2")}  # fmt: skip
+    play(scene, PROXIES, SERVERS, extra=extra)
+
+
 MUTANTS = {"": "", "lease ignored": IGNORED, "joint phase left out": NOT_JOINT, "wall clock": WALL}
 
 
