Let the ramp of a cold server end one proxy after the other; trials by what it usually takes

Cause: cold_time is one moment for all; trials by 30 proxies, each at most 2 s apart, are more than a small server takes. Ruled out: the rule's fall (none), lists (told at the start). Change: the ramp ends between cold_time and half as much again, at a random place for each proxy; a trial's turn follows from the own pace there; one answer counts for the trust of all proxies that share the server.

--- a/martentide/learned/restore.py
+++ b/martentide/learned/restore.py
@@ -80,6 +80,7 @@
         age = now - saved.cold_from
         if 0 <= age < controller.settings.cold_time:
             server.cold_from, server.cold_tokens = saved.cold_from, dice.random()
+            server.cold_spread = dice.random()
     if server.cold_from is not None:
         # A debt stays, and the time between brings nothing back. What was unspent is not known: what was sent
         # since the save is not in it. So the new process begins where any does, at a random place between two
--- a/martentide/learned/schema.py
+++ b/martentide/learned/schema.py
@@ -95,6 +95,7 @@
     "cold_from": Kept(True, "a server taken for cold without a word of the list stays cold"),
     "cold_tokens": Kept(True, "spent budget: a restart must not spend it twice (fail back safely)"),
     "cold_filled": Kept(False, "the bucket fills from the restart on, not for the time between"),
+    "cold_spread": Kept(False, "drawn anew"),
     "cold_trust": Kept(False, "earned by quick answers; no more is sent than by a fresh proxy"),
     "probe_out": Kept(False, "a probe of a process that is no more"),
     "probe_due": Kept(False, "probes are due at the start"),
--- a/martentide/overload/slow_start.py
+++ b/martentide/overload/slow_start.py
@@ -20,27 +20,39 @@
 
 LIFE = 0.5  # of the fall time: how long a grant may wait for a call
 USE = 0.75  # share of what the settings allow that is granted at most: sums vary by chance
+SPREAD = (
+    0.5  # of the time in which it warms up: so long the proxies take to end its ramp, one after the other
+)
 PROBE_WORK = 0.25  # of a set-up's work that a health check is counted with
 TRUST_GAIN = 1.08  # times the trust after each quick answer: a queue would show before the limit is hit
 TRUST_LOSS = 0.7  # times the trust after each slow one
+MOST_TRUST = 4.0  # beyond, it has no effect, and would be lost too slowly
 
 
-def share(age: float, trust: float, rules: Settings) -> float | None:
-    """Of a warm server's usual rate, how much it may be sent ``age`` ms after its start; None when warm.
+def share(age: float, trust: float, rules: Settings) -> float:
+    """Of a warm server's usual rate, how much it may be sent ``age`` ms after its start.
 
     ``trust`` (1 or more) grows with quick answers. Nobody tells how a server warms up: without trust it gets
     what it can bear should it stay at its first share, with trust no more than a steady way up bears.
     """
-    if age >= rules.cold_time:
-        return None
-    linear = rules.cold_share + (1.0 - rules.cold_share) * max(0.0, age) / rules.cold_time
+    linear = rules.cold_share + (1.0 - rules.cold_share) * min(1.0, max(0.0, age) / rules.cold_time)
     steady = USE * rules.fall_multiple / (1.0 + LIFE) * linear
     return min(linear, steady, USE * rules.fall_multiple * rules.cold_share * trust)
 
 
-def trusted(trust: float, quick: bool) -> float:
-    """The trust after one more answer."""
-    return max(1.0, trust * (TRUST_GAIN if quick else TRUST_LOSS))
+def over(age: float, spread: float, rules: Settings) -> bool:
+    """Whether the ramp is over for a proxy of that place (0 to 1) among all: they end it one after the other.
+
+    Guards against a fleet that lets go in the same instant: two hundred calls that waited for room, one from
+    each proxy, are a line that the server does not get rid of. Harm: it gets its usual share for a while.
+    """
+    return age >= rules.cold_time * (1.0 + SPREAD * spread)
+
+
+def trusted(trust: float, quick: bool, stands_for: float) -> float:
+    """The trust after one more answer, which stands for so many of the fleet's: the more proxies share a
+    server's answers, the fewer each hears, while the server is as warm as all of them together tell."""
+    return max(1.0, min(MOST_TRUST, trust * math.pow(TRUST_GAIN if quick else TRUST_LOSS, stands_for)))
 
 
 def counted(stood: int) -> float:
--- a/martentide/rules.py
+++ b/martentide/rules.py
@@ -20,7 +20,7 @@
     RepeatBudget, Report, ReportBy, SendSetUp, ServerEntry, ServerList, ServerState, SetTimer, Settings,
     SettingsChanged, SetUpOffered, Stands, TellPeer, TestDuty, TimerDue,
 )  # fmt: skip
-from martentide.overload import cut, slow_start
+from martentide.overload import cut, gossip, slow_start
 
 # ---- fleet ----------------------------------------------------------------------------------------------
 FEW = 12.0  # proxies that may each have every least allowance in full; more share what these would have
@@ -63,6 +63,8 @@
 MOST_ERRORS = 2  # answers with an error after which the call itself is taken to be at fault
 FAULTY = 0.4  # share of faults above which a server is suspect: two in a row, not a stray one
 TRIALS_FOR = 600.0  # ms of tolerable wait that the trials' times are for: shorter where it is less
+TRIAL_SHARE = 0.3  # of what a server usually takes from this proxy, that trials in a large fleet may come to
+LONGEST_TURN = 10.0  # s that a proxy's turn for such a trial takes at most
 TRIAL_SPREAD = 600.0  # ms, at random on top, so that the proxies' trials do not fall together
 
 # ---- cold servers ---------------------------------------------------------------------------------------
@@ -80,14 +82,10 @@
 # ---- tenants --------------------------------------------------------------------------------------------
 TENANT_WINDOW = 5000.0  # ms over which a tenant's first tries are counted, and a peer's word is believed
 TENANT_GAP = 1000.0  # ms between two looks at the tenants' rates
-RATE_STEP = 0.1  # first tries/s: unit of the rates in a message
-MOST_RATE = 65535  # units that fit the two bytes of a rate
 
 # ---- peers ----------------------------------------------------------------------------------------------
 PEER_GAP = 1000.0  # ms between two rounds of messages
 PEERS_TOLD = 6  # peers, drawn at random, that a round goes to: a proxy's cost does not grow with the fleet
-NEWS_STEP = 10.0  # ms: unit of waits and ages in a message
-NEWS_BYTES = 3  # place, age and wait of one server
 OLD_NEWS = 2000.0  # ms after which a wait is told and believed no more
 
 # ---- the clock ------------------------------------------------------------------------------------------
@@ -149,6 +147,7 @@
     cold_tokens: float = 1.0
     cold_filled: float = 0.0
     cold_trust: float = 1.0
+    cold_spread: float = 0.0  # 0 to 1: when among the proxies this one takes it for warm
     probe_out: bool = False
     probe_due: float = 0.0
 
@@ -287,7 +286,7 @@
     def _cool(self, server: Server, since: float, now: float) -> None:
         """Take the server for cold: of many proxies some may send at once, the rest in turn."""
         server.cold_from, server.cold_filled = since, now
-        server.cold_tokens = self.random.random()
+        server.cold_tokens, server.cold_spread = self.random.random(), self.random.random()
         if self.own_share < 1.0:
             server.cold_tokens = 0.0  # the other process may have spent the first burst
 
@@ -351,7 +350,7 @@
         server.faults -= FAULT_MEMORY * server.faults
         server.lag, server.lag_at = event.delay, now
         quick = event.delay < SLOW_LAG
-        server.cold_trust = slow_start.trusted(server.cold_trust, quick)
+        server.cold_trust = slow_start.trusted(server.cold_trust, quick, 1.0 / self.part)
         wait = max(0.0, event.delay - server.least_lag * (1.0 + LINK_NOISE))
         if wait < UNANSWERED * self.tolerable:
             # Own trials are rare in a large fleet: there, what else is heard from the server counts as well.
@@ -675,7 +674,9 @@
             server.probe_due = server.failed_at = now
         spread = self.random.random() * TRIAL_SPREAD * self.trial_scale
         server.trial_due = now + server.trial_gap + spread
+        usual = max(TRIAL_SHARE * self.pace * server.entry.size, 1.0 / LONGEST_TURN)  # trials/s
         server.trial_turn = spread * (1.0 / self.part - 1.0)
+        server.trial_turn += 1000.0 * self.random.random() * (1.0 - self.part) / usual
         server.trial_gap = min(LONGEST_TRIAL_GAP * self.trial_scale, server.trial_gap * 2.0)
 
     # ---- cold servers -----------------------------------------------------------------------------------
@@ -684,8 +685,9 @@
         """Set-ups a cold server has room for; None when it is warm."""
         if server.cold_from is None:
             return None
-        share = slow_start.share(now - server.cold_from, server.cold_trust, self.settings)
-        if share is None:
+        age = now - server.cold_from
+        share = slow_start.share(age, server.cold_trust, self.settings)
+        if slow_start.over(age, server.cold_spread, self.settings):
             server.cold_from = None
             return None
         usual = self.pace * server.entry.size
@@ -767,17 +769,14 @@
         news is up to OLD_NEWS old; own answers are taken as they come, so a wrong figure lasts no longer.
         """
         self.peers_due = now + PEER_GAP
-        rates = (min(MOST_RATE, round(self._tenant_rate(t, now) / RATE_STEP)) for t in self.taken.values())
-        body = b"".join(rate.to_bytes(2, "big") for rate in rates)
-        for server in self.servers.values():
-            age = OLD_NEWS if server.news_at is None else now - server.news_at
-            if age < OLD_NEWS and 0 <= server.entry.place <= 255:
-                steps = (server.entry.place, int(age / NEWS_STEP), min(255, int(server.news / NEWS_STEP)))
-                body += bytes(steps)
+        rates = (self._tenant_rate(times, now) for times in self.taken.values())
+        known = [s for s in self.servers.values() if s.news_at is not None and now - s.news_at < OLD_NEWS]
+        news = ((s.entry.place, now - (s.news_at or now), s.news) for s in known)
+        body = gossip.write(rates, news)
         others = [peer for peer in range(self.settings.proxies) if peer != self.settings.own_slot]
         if body and others:
             told = self.random.sample(others, min(PEERS_TOLD, len(others)))
-            self.actions.extend(TellPeer(peer, body[:256]) for peer in told)
+            self.actions.extend(TellPeer(peer, body) for peer in told)
 
     def _hear_fleet(self, now: float, event: Event) -> None:
         match event:
@@ -795,19 +794,15 @@
 
     def _hear_peer(self, now: float, event: PeerMessage) -> None:
         """A peer's rates and news; a message of another form is passed over."""
-        split = 2 * len(self.taken)
-        body = event.body
-        news_length = len(body) - split
-        if news_length < 0 or news_length % NEWS_BYTES or not 0 <= event.sender < self.settings.proxies:
+        read = gossip.read(event.body, len(self.taken))
+        if read is None or not 0 <= event.sender < self.settings.proxies:
             return
-        rates = [int.from_bytes(body[at : at + 2], "big") * RATE_STEP for at in range(0, split, 2)]
-        self.peer_rates[event.sender] = (now, rates)
+        self.peer_rates[event.sender] = (now, read[0])
         places = {server.entry.place: server for server in self.servers.values()}
-        for at in range(split, len(body), NEWS_BYTES):
-            server = places.get(body[at])
-            seen = now - body[at + 1] * NEWS_STEP
-            if server is not None and (server.news_at is None or seen > server.news_at + NEWS_STEP):
-                self._news(now, server, seen, body[at + 2] * NEWS_STEP)
+        for place, age, wait in read[1]:
+            server, seen = places.get(place), now - age
+            if server is not None and (server.news_at is None or seen > server.news_at + gossip.NEWS_STEP):
+                self._news(now, server, seen, wait)
 
     def _news(self, now: float, server: Server, seen: float, wait: float | None) -> None:
         server.heard_at = max(server.heard_at, seen)
