--- a/martentide/net/decider.py
+++ b/martentide/net/decider.py
@@ -9,12 +9,12 @@
 
 import asyncio
 import itertools
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
-from martentide.carriage import Client, ClientLeft, Ended, Heard, Order, Stood, Withdraw
+from martentide.carriage import Client, ClientLeft, Ended, Heard, Order, Presence, Stood, Withdraw
 from martentide.codec.board import Listed, Notice
 from martentide.interface import (
     Action,
@@ -177,6 +177,26 @@
     closed: bool = False  # nothing is owed to the caller any more
 
 
+class Waiting:
+    """The caller of one call, as whoever is about to begin an attempt for it may ask (carriage.Client).
+
+    Guards against an attempt that begins ahead of a give-up which has been read, and waits in a mailbox.
+    """
+
+    def __init__(self, decider: Decider, call: Call) -> None:
+        self.decider, self.call = decider, call
+
+    def look(self) -> Presence:
+        offer = self.call.offer
+        if self.call.closed or self.decider.leaving[offer.call]:
+            return Presence.LEFT
+        return Presence.HERE if offer.client is None else offer.client.look()
+
+    def when_heard(self, then: Callable[[], None]) -> None:
+        if self.call.offer.client is not None:
+            self.call.offer.client.when_heard(then)
+
+
 class Decider:
     """One Controller, fed in the order of the mailbox."""
 
@@ -191,6 +211,7 @@
         self.refs = itertools.count(1)
         self.calls: dict[int, Call] = {}
         self.by_id: dict[bytes, Call] = {}
+        self.leaving: Counter[bytes] = Counter()  # calls whose end by the caller waits in the mailbox
         self.open_calls = 0  # offered and neither answered nor standing
         self.answered: OrderedDict[bytes, int] = OrderedDict()  # and the caller
         self.listed: dict[str, Listed] = {}
@@ -207,6 +228,8 @@
         self.idle.set()
 
     def post(self, item: Item) -> None:
+        if isinstance(item, GiveUp | ReleaseIn):
+            self.leaving[item.call] += 1
         self.mailbox.put_nowait(item)
 
     async def run(self) -> None:
@@ -232,11 +255,10 @@
         match item:
             case Offer():
                 self._offer(item)
-            case GiveUp() | ReleaseIn():
-                self._caller_leaves(item.call)
+            case GiveUp(call_id) | ReleaseIn(call_id):
+                self._left(call_id)
             case ClientLeft(ref):
-                if (call := self.calls.get(ref)) is not None and not call.closed:
-                    self._caller_leaves(call.offer.call)
+                self._found_gone(ref)
             case Heard():
                 if (server := self.servers.get(item.server)) is not None:
                     server.post(item)
@@ -365,7 +387,7 @@
                 number=offer.number,
                 description=offer.description,
                 patience=action.patience,
-                client=offer.client,
+                client=Waiting(self, call),
             )
         )
 
@@ -401,6 +423,16 @@
         self.asking = offer.call
         self._feed(SetUpOffered(call.ref, name, None, number, left, offer.first_choice, False, False))
 
+    def _left(self, call_id: bytes) -> None:
+        self.leaving[call_id] -= 1
+        if not self.leaving[call_id]:
+            del self.leaving[call_id]
+        self._caller_leaves(call_id)
+
+    def _found_gone(self, ref: int) -> None:
+        if (call := self.calls.get(ref)) is not None and not call.closed:
+            self._caller_leaves(call.offer.call)
+
     def _caller_leaves(self, call_id: bytes) -> None:
         call = self.by_id.get(call_id)
         if call is None or call.closed:
--- a/tests/net/support.py
+++ b/tests/net/support.py
@@ -8,12 +8,15 @@
 import os
 import queue
 import re
+import select
 import signal
 import socket
 import subprocess
 import sys
 import threading
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from types import TracebackType
 from typing import Any
@@ -66,12 +69,24 @@
 }  # fmt: skip
 
 
+def parameters_of(left: int, **more: bytes) -> dict[int, bytes]:
+    """A set-up's parameters; ``left`` in ms."""
+    return {
+        Code.CLASS: more.get("name", b"voice"),
+        Code.TIME_LEFT: str(left).encode(),
+        Code.NUMBER: more.get("number", b"7f3a"),
+        Code.FIGURES: b"dest:0;width:1;via:-1",
+        Code.DESCRIPTION: DESCRIPTION,
+    }
+
+
 class Wire:
     """One connection that speaks the protocol's messages."""
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
         sock.settimeout(LIMIT)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # what was sent is on its way
 
     def exactly(self, count: int) -> bytes:
         data = b""
@@ -86,18 +101,14 @@
         self.sock.sendall(write_message(kind, call, parameters))
 
     def set_up(self, call: bytes, left: int = 3000, **more: bytes) -> None:
-        parameters: dict[int, bytes] = {
-            Code.CLASS: more.get("name", b"voice"),
-            Code.TIME_LEFT: str(left).encode(),
-            Code.NUMBER: b"7f3a",
-            Code.FIGURES: b"dest:0;width:1;via:-1",
-            Code.DESCRIPTION: DESCRIPTION,
-        }
-        self.send(Type.SET_UP, call, parameters)
+        self.send(Type.SET_UP, call, parameters_of(left, **more))
 
     def release(self, call: bytes, cause: int) -> None:
         self.send(Type.RELEASE, call, {Code.CAUSE: bytes((cause,))})
 
+    def set_up_bytes(self, call: bytes, left: int = 3000) -> bytes:
+        return write_message(Type.SET_UP, call, parameters_of(left))
+
     def receive(self, *kinds: int) -> Message:
         """The next message, or the next of these types."""
         while True:
@@ -113,6 +124,10 @@
         except (EOFError, ConnectionResetError):
             return True
 
+    def quiet(self) -> bool:
+        """Whether nothing lies here to be read."""
+        return not select.select([self.sock], [], [], 0.0)[0]
+
     def reset(self) -> None:
         """End it as the death of a process would."""
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
@@ -122,8 +137,8 @@
 class Listener:
     """A scripted peer that is dialled: a session server or the board."""
 
-    def __init__(self) -> None:
-        self.sock = socket.create_server(("127.0.0.1", 0))
+    def __init__(self, backlog: int | None = None) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0), backlog=backlog)
         self.sock.settimeout(LIMIT)
         self.port: int = self.sock.getsockname()[1]
 
@@ -159,11 +174,15 @@
         servers: int = 1,
         operated: bool = False,
         temporary: Path | None = None,
+        settings: dict[str, Any] | None = None,
+        more: tuple[str, ...] = (),
+        sockets: int = 64,
         **limits: Any,
     ) -> None:
         self.servers = [Listener() for _ in range(servers)]
         self.board = Listener()
-        settings = {**SETTINGS, "limits": {**SETTINGS["limits"], **limits}}
+        self.more = more  # words of the command line
+        settings = {**SETTINGS, **(settings or {}), "limits": {**SETTINGS["limits"], **limits}}
         known = [endpoint(at, server.port) for at, server in enumerate(self.servers)]
         self.config = folder / "config.json"
         self.config.write_text(
@@ -172,7 +191,7 @@
                     "name": "n0",
                     "listen": "127.0.0.1:0",
                     "seed": "8c1f30d27a5be964",
-                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 64},
+                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
                     "board": f"127.0.0.1:{self.board.port}",
                     **({"operator": "127.0.0.1:0"} if operated else {}),
                     "known": {
@@ -189,7 +208,7 @@
     def _launch(self) -> None:
         environment = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
         self.process = subprocess.Popen(
-            [sys.executable, "-B", "-m", "martentide", "serve", "--config", str(self.config)],
+            [sys.executable, "-B", "-m", "martentide", "serve", "--config", str(self.config), *self.more],
             cwd=ROOT,
             env={**environment, "TMPDIR": str(self.temporary)},
             stderr=subprocess.PIPE,
@@ -209,6 +228,16 @@
         other._launch()
         return other
 
+    @contextmanager
+    def stopped(self) -> Iterator[None]:
+        """The process stands still meanwhile: what comes lies in the system, and timers come due."""
+        self.process.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, self.process.pid, os.WSTOPPED | os.WNOWAIT)
+        try:
+            yield
+        finally:
+            self.process.send_signal(signal.SIGCONT)
+
     def kill(self) -> None:
         self.process.kill()
         self.process.wait()
