Count what all proxies send a cold server, by N and fleet; older grants for first choices only

Need: the sum over 20, 30 or 200 processes stays within N + 2 sqrt(N) + 2, also with N below their number.

--- a/martentide/overload/slow_start.py
+++ b/martentide/overload/slow_start.py
@@ -5,11 +5,12 @@
 what warm servers of like size take *from it*: these shares add up to what they take from all, which is at
 most C, whatever the number of proxies and however uneven their traffic.
 
-Each grant to send lasts for LIFE times the fall time. Guards against proxies that each save one up while
-nothing comes: two hundred that spend it in the same second are a burst that no rate bounds. So what is sent
-in a window is at most what was granted in the window and the LIFE before it, ``rate * (1 + LIFE)`` times the
-fall time. Each proxy begins at a random place between two grants, so that they are spread from the first
-second on. Expected sum and variance stand in docs/design/overload.md.
+Each grant to send lasts for a while: LIFE times the fall time for calls drawn here because others had no
+room, KEPT times for those that ask for this server first. Guards against proxies that each save one up while
+nothing comes: two hundred that spend it in the same second are a burst that no rate bounds, and in a storm
+every call turned away elsewhere comes looking; what comes by first choice is bounded by the callers. Each
+proxy begins at a random place between two grants, so that they are spread from the first second on. Expected
+sum and variance stand in docs/design/overload.md.
 """
 
 from __future__ import annotations
@@ -18,7 +19,8 @@
 
 from martentide.interface import Settings
 
-LIFE = 0.5  # of the fall time: how long a grant may wait for a call
+LIFE = 0.5  # of the fall time: how long a grant may wait for a call that was turned away elsewhere
+KEPT = 2.0  # of the fall time: how long it may wait for one that asks for this server first
 USE = 0.75  # share of what the settings allow that is granted at most: sums vary by chance
 SPREAD = (
     0.5  # of the time in which it warms up: so long the proxies take to end its ramp, one after the other
@@ -65,5 +67,11 @@
     """The grants after ``elapsed`` ms at ``rate`` a second; one not used within its life is gone, whole, so
     that a proxy's place between two grants stays what it was."""
     tokens += rate * elapsed / 1000.0
+    lapsed = math.floor(tokens - rate * KEPT * rules.fall_time / 1000.0)
+    return tokens - max(0, lapsed)
+
+
+def young(tokens: float, rate: float, rules: Settings) -> float:
+    """Of the grants, those that came within LIFE: a call turned away elsewhere may use no older one."""
     lapsed = math.floor(tokens - rate * LIFE * rules.fall_time / 1000.0)
     return tokens - max(0, lapsed)
--- a/martentide/rules.py
+++ b/martentide/rules.py
@@ -588,7 +588,7 @@
             return False
         if now < max(server.due, server.lines_due):
             return False
-        cold = self._cold_room(server, now)
+        cold = self._cold_room(server, now, server.entry.place == call.first_choice)
         image = server.image if server.image is not None and now < server.image.expires else None
         lesser = 1.0 - self._value(call, now) / self.top_worth
         if server.free_lines is not None and server.free_lines < 1.0 + RESERVED_LINES * lesser:
@@ -681,8 +681,8 @@
 
     # ---- cold servers -----------------------------------------------------------------------------------
 
-    def _cold_room(self, server: Server, now: float) -> float | None:
-        """Set-ups a cold server has room for; None when it is warm."""
+    def _cold_room(self, server: Server, now: float, first: bool = True) -> float | None:
+        """Set-ups a cold server has room for, of calls that ask for it first or not; None when it is warm."""
         if server.cold_from is None:
             return None
         age = now - server.cold_from
@@ -696,7 +696,7 @@
         rate, elapsed = usual * share * self.own_share, now - server.cold_filled
         server.cold_tokens = slow_start.refilled(server.cold_tokens, rate, elapsed, self.settings)
         server.cold_filled = now
-        return server.cold_tokens
+        return server.cold_tokens if first else slow_start.young(server.cold_tokens, rate, self.settings)
 
     def _bears_probe(self, server: Server, now: float) -> bool:
         """Whether a probe may go there; a cold server's is work that its budget counts."""
--- a/martentide_lab/sim.py
+++ b/martentide_lab/sim.py
@@ -221,13 +221,14 @@
         new = self.controllers[at] = self.fresh(at)
         give(old, new)
 
-    def replace(self, old: str, new: Processor) -> None:
-        """A cold server takes the place of another."""
+    def replace(self, old: str, new: Processor, late: Callable[[int], float] = lambda at: 0.0) -> None:
+        """A cold server takes the place of another; each proxy is told so many ms ``late``."""
         del self.servers[old]
         self.servers[new.name] = new
         gone = ServerEntry(old, new.place, "z", ServerState.GONE, None, 1.0)
+        told = ServerList(ListKind.CHANGES, (gone, *self.entries()))
         for at in range(len(self.controllers)):
-            self.feed(at, ServerList(ListKind.CHANGES, (gone, *self.entries())))
+            self.at(self.now + late(at), lambda at=at: self.feed(at, told))  # type: ignore[misc]
 
     def feed(self, at: int, event: Event) -> None:
         controller = self.controllers[at]
@@ -332,12 +333,14 @@
 
     # ---- callers ------------------------------------------------------------------------------------------
 
-    def offer(self, until: float, rate: float, shares: tuple[float, ...]) -> None:
-        """Poisson arrivals of first tries, ``rate`` a second."""
+    def offer(
+        self, until: float, rate: float, shares: tuple[float, ...], homes: tuple[float, ...] | None = None
+    ) -> None:
+        """Poisson arrivals of first tries, ``rate`` a second; ``homes``: the proxies' parts of them."""
         when = self.now
         while (when := when + self.dice.expovariate(rate / 1000.0)) < until:
             kind = self.dice.choices(range(len(shares)), shares)[0]
-            home = self.dice.randrange(len(self.controllers))
+            home = self.dice.choices(range(len(self.controllers)), homes)[0]
             story = Story(kind, f"{self.dice.getrandbits(48):x}", when, home)
             self.stories.append(story)
             self.at(when, lambda s=story: self._dial(s))  # type: ignore[misc]
@@ -372,6 +375,22 @@
                     got += kind.worth
         return got / asked if asked else 1.0
 
+    def cold_sum(self, server: Processor) -> tuple[float, float]:
+        """The most that came in a window of the fall-over time, from all proxies: over what the settings
+        allow by then with twice its deviation and two more (1: the limit), and over the allowed alone."""
+        span, ratio, mean = self.settings.fall_time, 0.0, 0.0
+        window: deque[float] = deque()
+        for when in server.came:
+            if server.started is None or when > server.started + self.settings.cold_time:
+                break
+            window.append(when)
+            while window[0] <= when - span:
+                window.popleft()
+            allowed = self.settings.fall_multiple * server.capacity(when, self.settings) * span / 1000.0
+            ratio = max(ratio, len(window) / (allowed + 2.0 * math.sqrt(allowed) + 2.0))
+            mean = max(mean, len(window) / allowed)
+        return ratio, mean
+
     def cold_use(self, server: Processor) -> float:
         """The most that came in a window of the fall-over time, over what the rule allows (1: the limit)."""
         window: deque[float] = deque()
