Keep descriptors for board, servers and operator; make room when the system gives no more

Need: idle clients may fill the descriptors while discovery is down. Seen (12 of 12 cases of tests/net/test_descriptors.py, a limit of 48 or 40 of the system): accepting took every descriptor, as 32 connections are accepted a turn and the door hears of them three turns later; the event loop then logged 105 errors with a trace in 3 s and accepted nothing for a second at a time; a server's link fell silent for want of room. When the system gives none, for a dial or an accept, four idle connections are closed and one line a second says so; a link with a call, open or standing, is never closed for room.

--- a/martentide/net/board.py
+++ b/martentide/net/board.py
@@ -39,9 +39,11 @@
         zones: tuple[str, ...],
         connect_timeout: float,
         tell: Callable[[Notice], None],
+        short: Callable[[OSError], object] = lambda error: None,
     ) -> None:
         self.address, self.last, self.zones, self.tell = address, last, zones, tell
         self.connect_timeout = connect_timeout
+        self.short = short  # told of an error of a dial, which may be for want of a descriptor
         self.mailbox: asyncio.Queue[Notice | FollowEnded | Moved] = asyncio.Queue()
         self.following: asyncio.Task[None] | None = None
         self.attempt = 0
@@ -99,6 +101,7 @@
         except ConnectionResetError:
             reason = Reason.PEER_RESET
         except OSError as error:
+            self.short(error)
             reason, detail = (Reason.DIAL_ERROR if writer is None else Reason.IO_ERROR), str(error)
         except asyncio.CancelledError:
             reason = Reason.SHUTDOWN if attempt == self.attempt else Reason.MOVED
--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -29,7 +29,10 @@
 ROOM = (
     0.75  # of the door's descriptors in use, above which there is none: half messages must not hold the rest
 )
-ACCEPTED_AT_A_TIME = 32  # connections that are accepted before the door looks at them
+ACCEPTED_AT_A_TIME = 32  # connections that are accepted before the door looks at them, at most
+# And at most one in so many of the callers' descriptors: the door hears of them three turns later.
+ACCEPTED_OF = 12
+FREED_AT_A_TIME = 4  # idle connections that are closed when the system has no descriptor left
 MUTE_GRACE = 1.0  # s in which a new connection may bring its first byte before a drain closes it
 REST_AGAIN = 0.02  # s until the next look at a link that is to be closed and is not at rest
 LEAST_DOOR = 8  # descriptors that callers have at least, beside a predecessor's connections
@@ -501,10 +504,25 @@
 
     def _dearest(self, newcomer: Link) -> Link:
         """The link to be closed: of a party without calls if there is one, mute before resting."""
-        idle = [one for one in (*self.mute, *self.resting) if one is not newcomer and not self.open[one]]
+        idle = [one for one in self._idle() if one is not newcomer]
         free = (one for one in (*idle, newcomer) if self.host[one] not in self.calling)
         return next(free, idle[0] if idle else newcomer)
 
+    def _idle(self) -> list[Link]:
+        """Links without a call, open or standing, the cheapest to lose first: mute before resting."""
+        links = (*self.mute, *self.resting)
+        return [one for one in links if not self.open.get(one) and not self.standing.get(one)]
+
+    def free(self, count: int) -> int:
+        """Close up to so many links at once, mute before resting; none with an open set-up, and none of a
+        party that has calls while there are others."""
+        idle = self._idle()
+        idle.sort(key=lambda one: self.host[one] in self.calling)  # keeps the order otherwise
+        for link in idle[:count]:
+            self.left(link)
+            link.close(Reason.TOO_MANY)
+        return len(idle[:count])
+
     def left(self, link: Link) -> None:
         self.open.pop(link, None)
         self.standing.pop(link, None)
@@ -599,7 +617,10 @@
         # door has closed any. Then the queue of those that wait is made long again. The server gets a
         # descriptor of its own, so that it can be ended and another begun on the same queue.
         self.server = await asyncio.start_server(
-            self._accept, sock=self.socket.dup(), backlog=ACCEPTED_AT_A_TIME, limit=MOST_BYTES
+            self._accept,
+            sock=self.socket.dup(),
+            backlog=max(1, min(ACCEPTED_AT_A_TIME, self.most // ACCEPTED_OF)),
+            limit=MOST_BYTES,
         )
         self.socket.listen(WAITING)
 
@@ -613,6 +634,10 @@
         if self.moving:
             party.post(MoveOut())
 
+    def make_room(self) -> int:
+        """Close a few connections that are cheapest to lose; how many were."""
+        return self.door.free(FREED_AT_A_TIME)
+
     def _party(self, host: str) -> Party:
         if host not in self.parties:
             self.parties[host] = Party(host, self.tell, self.parties.__delitem__, self.door)
--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -110,8 +110,15 @@
 class Server:
     """The actor of one session server; ``tell`` is the decider's mailbox."""
 
-    def __init__(self, listed: Listed, connect_timeout: float, tell: Callable[[Told], None]) -> None:
+    def __init__(
+        self,
+        listed: Listed,
+        connect_timeout: float,
+        tell: Callable[[Told], None],
+        short: Callable[[OSError], object] = lambda error: None,
+    ) -> None:
         self.listed, self.connect_timeout, self.tell = listed, connect_timeout, tell
+        self.short = short  # told of an error of a dial, which may be for want of a descriptor
         self.name = listed.entry.name
         self.loop = asyncio.get_running_loop()
         self.mailbox: asyncio.Queue[Item] = asyncio.Queue()
@@ -447,6 +454,7 @@
         except ConnectionRefusedError:
             reason = Reason.DIAL_REFUSED
         except OSError as error:
+            self.short(error)
             reason, detail = Reason.DIAL_ERROR, str(error)
         log_ended("server", self.name, reason, detail)
         self.post(Dialled(None, reason))
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -29,6 +29,7 @@
 from martentide.lifecycle import machine
 from martentide.lifecycle.calls import FLEET, OUT_OF_SERVICE, PROPOSE, READY, VERSIONS, VOTERS
 from martentide.lifecycle.machine import Machine
+from martentide.net import descriptors
 from martentide.net.board import Board, Moved
 from martentide.net.callers import Callers
 from martentide.net.config import Config, ConfigError, check_keys
@@ -44,10 +45,8 @@
     from martentide.net.fleet.member import Member
     from martentide.net.learned import Store
 
-CALLERS_SHARE = 0.5  # of the descriptors: callers hold a third at most, old connections may overlap new ones
 BESIDE = 0.5  # of what a cold server may be sent is each process's, until the old one is told to end
 TAKE_LIMIT = 1.0  # s for the predecessor to accept no more
-MOST_CALLS = 24  # descriptors set aside for the operator's calls
 
 
 def fold(notices: tuple[Notice, ...]) -> Notice:
@@ -420,11 +419,17 @@
     def start_server(listed: Listed, decider: Decider) -> ServerActor:
         if not dials:
             return Unlinked(listed, decider)
-        return Server(listed, service.config.connect_timeout, decider.post)
+        return Server(listed, service.config.connect_timeout, decider.post, shortage.met)
 
     decider = Decider(Controller(settings, config.seed), start_server, config.max_open)
-    board = Board(config.board, config.known_number, config.zones, config.connect_timeout, decider.post)
-    callers = Callers(int(config.sockets * CALLERS_SHARE), decider.post)
+    limit = descriptors.most(config.sockets)
+    known = len(fold(config.known).servers)
+    callers = Callers(descriptors.for_callers(limit, known, config.operator is not None), decider.post)
+    shortage = descriptors.Shortage(callers.make_room)
+    loop.set_exception_handler(shortage.handle)
+    board = Board(
+        config.board, config.known_number, config.zones, config.connect_timeout, decider.post, shortage.met
+    )
 
     store, processor, member = turned_on(config, settings, decider)
     service = Service(config, read, decider, board, callers, store, processor, member)
@@ -436,7 +441,7 @@
     if config.operator is not None:
         from martentide.net.control import Control  # h11 comes with it
 
-        control = Control(service.ask, min(MOST_CALLS, config.sockets // 8))
+        control = Control(service.ask, descriptors.for_operator(limit))
         await control.listen(config.operator)
         for host, port in control.addresses():
             log_event("operator-listening", address=f"{host}:{port}")
--- a/tests/extproc/test_services.py
+++ b/tests/extproc/test_services.py
@@ -328,8 +328,8 @@
             assert {*routes.values(), *finals.values()} == {1}
             assert len(routes) + sum(whys.values()) == count
             if pending > count:
-                # Counted, not timed: none is turned away for its front's sake, and the decisions were asked of
-                # each; what they hold on a slow core ends with its own time.
+                # Counted, not timed: none is turned away for its front's sake, the decisions are asked;
+                # what they hold on a slow core ends with its own time.
                 assert set(whys) <= {why, "deadline"}
             else:
                 assert whys[why] > 5000
--- a/tests/net/support.py
+++ b/tests/net/support.py
@@ -8,6 +8,7 @@
 import os
 import queue
 import re
+import resource
 import select
 import signal
 import socket
@@ -137,8 +138,8 @@
 class Listener:
     """A scripted peer that is dialled: a session server or the board."""
 
-    def __init__(self, backlog: int | None = None) -> None:
-        self.sock = socket.create_server(("127.0.0.1", 0), backlog=backlog)
+    def __init__(self, backlog: int | None = None, port: int = 0) -> None:
+        self.sock = socket.create_server(("127.0.0.1", port), backlog=backlog)
         self.sock.settimeout(LIMIT)
         self.port: int = self.sock.getsockname()[1]
 
@@ -177,11 +178,13 @@
         settings: dict[str, Any] | None = None,
         more: tuple[str, ...] = (),
         sockets: int = 64,
+        descriptors: int | None = None,
         **limits: Any,
     ) -> None:
         self.servers = [Listener() for _ in range(servers)]
         self.board = Listener()
         self.more = more  # words of the command line
+        self.descriptors = descriptors  # the system's limit for the process; None: the test's own
         settings = {**SETTINGS, **(settings or {}), "limits": {**SETTINGS["limits"], **limits}}
         known = [endpoint(at, server.port) for at, server in enumerate(self.servers)]
         self.config = folder / "config.json"
@@ -213,6 +216,7 @@
             env={**environment, "TMPDIR": str(self.temporary)},
             stderr=subprocess.PIPE,
             text=True,
+            preexec_fn=None if self.descriptors is None else self._limit,
         )
         self.lines: queue.Queue[str] = queue.Queue()
         self.log: list[str] = []
@@ -222,6 +226,10 @@
         self.port = int(self.logged(r"serving .*address=127\.0\.0\.1:(\d+)").group(1))
         self.logged("state=in-service")  # a successor would find it from now on
 
+    def _limit(self) -> None:
+        assert self.descriptors is not None
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
+
     def beside(self) -> Program:
         """A second process of the same configuration: its successor."""
         other = copy.copy(self)
--- /dev/null
+++ b/tests/net/test_descriptors.py
@@ -0,0 +1,93 @@
+"""Descriptors run short: callers that are idle, half messages, slow ones, while the board is down.
+
+The limit is the system's, set for the program's own process alone.
+"""
+
+from __future__ import annotations
+
+import resource
+import socket
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from martentide.codec.messages import Code, Type
+from tests.net.support import DESCRIPTION, Listener, Program, Wire
+
+A, B = b"\xa1" * 8, b"\xb2" * 8
+FLOOD = 150
+
+
+def idle(one: Wire) -> None:
+    pass
+
+
+def half_a_message(one: Wire) -> None:
+    one.sock.sendall(b"\0\x20\x01")
+
+
+def of_use_once(one: Wire) -> None:
+    one.send(Type.TEST, A, {Code.CAUSE: b"\0"})
+
+
+def reads_nothing(one: Wire) -> None:
+    one.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1024)
+    one.sock.sendall(b"\0\x09\x34" + A)
+
+
+def stand(program: Program, server: Wire, call: bytes) -> Wire:
+    caller = program.caller("127.0.0.3")
+    caller.set_up(call)
+    assert server.receive(Type.SET_UP).call == call
+    server.send(Type.ANSWER, call, {Code.DESCRIPTION: DESCRIPTION})
+    assert caller.receive(Type.ANSWER).call == call
+    return caller
+
+
+@pytest.mark.parametrize("does", [idle, half_a_message, of_use_once, reads_nothing])
+@pytest.mark.parametrize(("told", "limit"), [(48, 48), (1024, 48), (64, 40)])
+def test_a_full_table_keeps_neither_the_board_nor_servers_nor_callers_out(
+    tmp_path: Path, does: Callable[[Wire], None], told: int, limit: int
+) -> None:
+    """Whatever the configuration says, the system's limit holds; the board comes back while it is reached."""
+    with Program(tmp_path, operated=True, sockets=told, descriptors=limit) as program:
+        board, server = program.board.accept(), program.servers[0].accept()
+        standing = stand(program, server, B)
+        port = program.board.port
+        program.board.close()
+        board.reset()
+        program.logged("role=board .*reason=dial-refused")
+        flood = []
+        for at in range(FLOOD):
+            flood.append(program.caller(f"127.0.1.{at % 50 + 1}"))
+            does(flood[-1])
+        program.board = again = Listener(port=port)
+        assert again.accept().exactly(8) == (1).to_bytes(8, "big")
+        stand(program, server, A)
+        assert program.call("GET", "/control/ready") == 200
+        server.reset()
+        other = program.servers[0].accept()  # dialled anew
+        other.release(B, 16)
+        assert standing.receive(Type.RELEASE).call == B  # a call that stands has kept its connection
+        for one in flood:
+            one.sock.close()
+
+
+def test_when_the_system_gives_no_more_room_is_made_and_no_trace_is_logged(tmp_path: Path) -> None:
+    """The limit falls while the process runs, so that its own share no longer fits: accepting fails."""
+    with Program(tmp_path) as program:
+        board, server = program.board.accept(), program.servers[0].accept()
+        standing = stand(program, server, B)
+        held = len(list(Path(f"/proc/{program.process.pid}/fd").iterdir()))
+        resource.prlimit(program.process.pid, resource.RLIMIT_NOFILE, (held + 4, held + 4))
+        flood = [program.caller(f"127.0.1.{at + 1}") for at in range(12)]
+        program.logged("descriptors-short times=")
+        board.reset()
+        assert program.board.accept().exactly(8) == (1).to_bytes(8, "big")
+        stand(program, server, A)
+        server.release(B, 16)
+        assert standing.receive(Type.RELEASE).call == B
+        assert not any("Traceback" in line or "library" in line for line in program.log)
+        for one in flood:
+            one.sock.close()
