Dial the board again at once after a connection that told something

Cause: what is listed counts as told while nobody is connected; the pause of 0.1 to 0.4 s before the next dial may be longer than a drain's grace (250 ms in the second customer's settings). Change: 0 to 50 ms for the first dial after a connection that brought a frame, as before for others. tests/net/test_board.py counts which pause is taken; it fails with the old one.

--- a/martentide/net/board.py
+++ b/martentide/net/board.py
@@ -15,13 +15,17 @@
 
 SILENCE = 2.2  # s without a frame after which the connection is dead
 REDIAL_AFTER = (0.1, 0.4)  # s, drawn between the two
+# s instead after a connection that told something: what is listed counts as told meanwhile, and a drain may
+# have a grace of less than the other.
+REDIAL_FIRST = (0.0, 0.05)
 
 
 @dataclass(frozen=True, slots=True)
 class FollowEnded:
-    """The ``attempt``-th connection to the board is over, or none came up."""
+    """The ``attempt``-th connection to the board is over, or none came up; ``lived``: a frame came on it."""
 
     attempt: int
+    lived: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +67,7 @@
                 self._dial(0.0)
             elif isinstance(item, FollowEnded):
                 if item.attempt == self.attempt:  # not of a connection that a move has ended
-                    self._dial(random.uniform(*REDIAL_AFTER))
+                    self._dial(random.uniform(*(REDIAL_FIRST if item.lived else REDIAL_AFTER)))
             elif item.number > self.last:  # one that comes twice tells nothing new
                 self.last = item.number
                 self.tell(item)
@@ -77,7 +81,7 @@
         await asyncio.sleep(pause)
         address = self.address
         writer: asyncio.StreamWriter | None = None
-        reason, detail = Reason.INTERNAL, ""
+        reason, detail, lived = Reason.INTERNAL, "", False
         try:
             async with asyncio.timeout(self.connect_timeout):
                 reader, writer = await asyncio.open_connection(address.host, address.port)
@@ -86,7 +90,7 @@
                 async with asyncio.timeout(SILENCE):
                     head = await reader.readexactly(LENGTH.size)
                     body = await reader.readexactly(frame_length(head))
-                notice = read_frame(body, self.zones)
+                notice, lived = read_frame(body, self.zones), True
                 if notice is not None:
                     self.mailbox.put_nowait(notice)
         except TimeoutError:
@@ -112,4 +116,4 @@
             if writer is not None:
                 writer.close()
             log_ended("board", str(address), reason, detail)
-            self.mailbox.put_nowait(FollowEnded(attempt))
+            self.mailbox.put_nowait(FollowEnded(attempt, lived))
--- /dev/null
+++ b/tests/net/test_board.py
@@ -0,0 +1,51 @@
+"""The list's actor by itself: which pause it takes before it dials again."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from martentide.net.board import REDIAL_AFTER, REDIAL_FIRST, Board
+from martentide.net.config import Address
+from tests.net.support import frame
+
+
+@pytest.mark.parametrize(
+    ("told", "pauses"),
+    [
+        (frame(1, 0), [REDIAL_FIRST, REDIAL_AFTER, REDIAL_AFTER]),  # then nobody listens any more
+        (b"", [REDIAL_AFTER, REDIAL_AFTER, REDIAL_AFTER]),
+        (frame(1, 0)[:5], [REDIAL_AFTER, REDIAL_AFTER, REDIAL_AFTER]),
+    ],
+)
+def test_a_board_that_told_something_is_dialled_again_at_once(
+    monkeypatch: pytest.MonkeyPatch, told: bytes, pauses: list[tuple[float, float]]
+) -> None:
+    """Guards against a drain with a short grace that is told while nobody listens."""
+    asked: list[tuple[float, float]] = []
+
+    def uniform(least: float, most: float) -> float:
+        asked.append((least, most))
+        return 0.0
+
+    monkeypatch.setattr("martentide.net.board.random.uniform", uniform)
+
+    async def play() -> None:
+        async def once(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            server.close()
+            await reader.readexactly(8)
+            writer.write(told)
+            writer.close()
+
+        server = await asyncio.start_server(once, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        board = Board(Address(host, port), 0, ("east",), 5.0, lambda notice: None)
+        task = asyncio.create_task(board.run())
+        async with asyncio.timeout(10):
+            while len(asked) < len(pauses):
+                await asyncio.sleep(0.01)
+        task.cancel()
+
+    asyncio.run(play())
+    assert asked[: len(pauses)] == pauses
