--- a/benchmarks/cold_sum.py
+++ b/benchmarks/cold_sum.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import json
 import math
@@ -17,8 +18,12 @@
 
 import click
 
+from martentide.net.links import unix_ms
 from martentide.settings import settings_from
-from martentide_lab.proxy import site_settings
+from martentide_lab.callers import Load
+from martentide_lab.checker import cold_sum
+from martentide_lab.proxy import Proxy, site_settings
+from martentide_lab.servers import COLD_SHARE, COLD_TIME, FALL_MULTIPLE, FALL_TIME, Board, SessionServer
 from martentide_lab.sim import Processor, Site
 
 SETTINGS = settings_from(site_settings(4))
@@ -59,6 +64,49 @@
     return worst, len(cold.came) / max(1.0, statistics.fmean(warm))
 
 
+async def real(proxies: int, allowed: float, seed: int) -> tuple[float, float]:
+    """The same on real processes: one with several times the mean, a quarter of them killed and started again
+    in the ramp. The worst window over its bound, and the cold server's calls over the mean warm one's."""
+    rate = allowed / (FALL_MULTIPLE * COLD_SHARE * FALL_TIME / 1000.0)
+    servers = [SessionServer(at) for at in range(4)]
+    board, loads = Board(), list[tuple[Load, asyncio.Task[None]]]()
+    for server in servers:
+        server.script.rate = rate
+        await server.start()
+    await board.start()
+    fleet = [Proxy(board, servers, None, name=f"n{at}") for at in range(proxies)]
+
+    async def begin(at: int) -> None:
+        fleet[at].fleet = proxies
+        await fleet[at].start()
+        share = (AHEAD if at == 0 else 1.0) / (proxies - 1 + AHEAD)
+        classes = [kind.name for kind in SETTINGS.classes]
+        load = Load(
+            fleet[at].callers, classes, LOAD * 4 * rate * share, seed * 1000 + at, 3, SHARES, chance=True
+        )
+        loads.append((load, asyncio.create_task(load.run())))
+
+    await asyncio.gather(*(begin(at) for at in range(proxies)))
+    await asyncio.sleep(REPLACED / 1000.0)
+    cold = servers[0]
+    cold.script.cold_from = started = unix_ms()
+    board.tell([(cold, 0)], started=int(started))
+    for group in range(3):
+        await asyncio.sleep(2.0)
+        part = range(1 + group * proxies // 12, 1 + (group + 1) * proxies // 12)
+        await asyncio.gather(*(fleet[at].kill() for at in part))
+        await asyncio.gather(*(begin(at) for at in part))
+    await asyncio.sleep((started + COLD_TIME - unix_ms()) / 1000.0)
+    for load, task in loads:
+        await load.stop(task)
+    await asyncio.gather(*(one.kill() for one in fleet))
+    worst = cold_sum(cold)
+    came = [sum(1 for one in server.arrivals if one.at > started) for server in servers]
+    for server in servers:
+        await server.stop()
+    return worst, came[0] / max(1.0, statistics.fmean(came[1:]))
+
+
 def cell(asked: tuple[str, int, float, int]) -> tuple[str, int, float, list[tuple[float, float]]]:
     case, proxies, allowed, seeds = asked
     return case, proxies, allowed, [day(case, proxies, allowed, seed) for seed in range(seeds)]
@@ -68,7 +116,16 @@
 @click.option("--seeds", default=10, show_default=True)
 @click.option("--workers", default=2, show_default=True, help="processes that play at a time")
 @click.option("--short", is_flag=True, help="two seeds of few cases")
-def main(seeds: int, workers: int, short: bool) -> None:
+@click.option("--processes", default=0, help="real processes instead, so many")
+def main(seeds: int, workers: int, short: bool, processes: int) -> None:
+    if processes:
+        played = [asyncio.run(real(processes, n, seed)) for n in (10.0, 30.0) for seed in range(seeds)]
+        rows = [f"{worst:.2f} of the bound, service {served:.2f}" for worst, served in played]
+        print("\n".join(rows))
+        highest = max(worst for worst, _ in played)
+        over = sum(worst > 1.0 for worst, _ in played)
+        print("RESULT", json.dumps({"plays": len(played), "over": over, "cold_sum_worst": round(highest, 3)}))
+        raise SystemExit(1 if over else 0)
     fleets, sums = ((20,), (3.0, 30.0)) if short else ((20, 30, 200), (3.0, 10.0, 30.0, 100.0))
     asked = [(*one, 2 if short else seeds) for one in product(CASES, fleets, sums)]
     over, plays, highest = 0, 0, 0.0
--- a/benchmarks/ready.py
+++ b/benchmarks/ready.py
@@ -1,8 +1,8 @@
 """How long restarted proxies take to be ready: ``python -m benchmarks.ready [--fleet N] [--share S]``.
 
-A fleet of real processes runs; a share of it at a time is killed and started again together, with the list of
-the moment, all on this machine. Measured from the start of a process to the front's test that passes, split at
-the first line of the log (interpreter, imports, configuration) and at ``serving`` (list, servers' actors,
+A fleet of real processes runs; a share of it at a time is killed and started again together, with the list
+of the moment, on this machine. Measured from the start of a process to the front's test that passes, split
+at the first line of the log (interpreter, imports, configuration) and at ``serving`` (list, servers' actors,
 listener). The last line is ``RESULT {json}``; the exit code tells whether nine in ten were ready within 10 s.
 """
 
--- a/martentide_lab/checker.py
+++ b/martentide_lab/checker.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -140,6 +141,18 @@
     return most
 
 
+def cold_sum(server: SessionServer) -> float:
+    """As ``cold_use``, over what the rule allows, twice its deviation and two more: over 1 is no chance."""
+    begin = server.script.cold_from or 0.0
+    times = sorted(one.at for one in server.arrivals if begin <= one.at <= begin + COLD_TIME)
+    most = 0.0
+    for last, when in enumerate(times):
+        count = sum(when - FALL_TIME < at <= when for at in times[: last + 1])
+        allowed = FALL_MULTIPLE * server.script.capacity(when) * FALL_TIME / 1_000.0
+        most = max(most, count / (allowed + 2.0 * math.sqrt(allowed) + 2.0))
+    return most
+
+
 def check_servers(
     servers: Iterable[SessionServer], drained: dict[str, float]
 ) -> tuple[Counter[str], list[str]]:
--- a/martentide_lab/proxy.py
+++ b/martentide_lab/proxy.py
@@ -82,6 +82,7 @@
         self.board, self.servers, self.extras, self.operated = board, servers, extras, operated
         self.environment: dict[str, str] = {}  # beside the usual
         self.temporary, self.listen = temporary, "127.0.0.1:0"
+        self.fleet = 1  # proxies that the settings tell of
         self.folder = folder or Path(tempfile.mkdtemp(prefix="martentide-"))
         self.process: asyncio.subprocess.Process | None = None
         self.log: list[str] = []
@@ -110,7 +111,7 @@
             **({"operator": "127.0.0.1:0"} if self.operated else {}),
             "known": {"rev": 1, "notices": [
                 {"rev": 1, "pool": {"index": 1, "snapshot": True, "endpoints": known}}]},
-            "settings": site_settings(len(self.servers), **self.limits),
+            "settings": {**site_settings(len(self.servers), **self.limits), "n_instances": self.fleet},
         }  # fmt: skip
         (self.folder / "config.json").write_text(json.dumps(config))
         self.write(self.extras)
