Let trials at a server that takes little from this proxy wait up to 30 s for their turn

Seen: 30 proxies' trials, at most 10 s apart each, still are 3 to 4 a second at servers that take 2; a jam kept itself up.

--- a/martentide/rules.py
+++ b/martentide/rules.py
@@ -64,7 +64,7 @@
 FAULTY = 0.4  # share of faults above which a server is suspect: two in a row, not a stray one
 TRIALS_FOR = 600.0  # ms of tolerable wait that the trials' times are for: shorter where it is less
 TRIAL_SHARE = 0.3  # of what a server usually takes from this proxy, that trials in a large fleet may come to
-LONGEST_TURN = 10.0  # s that a proxy's turn for such a trial takes at most
+LONGEST_TURN = 30.0  # s that a proxy's turn for such a trial takes at most
 TRIAL_SPREAD = 600.0  # ms, at random on top, so that the proxies' trials do not fall together
 
 # ---- cold servers ---------------------------------------------------------------------------------------
