Ramp a server whose start is only supposed by trust alone; grant nine tenths of what is allowed

Change: the caps by a steady warming and the spread end hold where the list told of the start; a supposed one begins with its least rate and part of a token, as before. USE 0.75 to 0.9 (the sum on paper stays three deviations off).

--- a/martentide/overload/slow_start.py
+++ b/martentide/overload/slow_start.py
@@ -21,7 +21,7 @@
 
 LIFE = 0.5  # of the fall time: how long a grant may wait for a call that was turned away elsewhere
 KEPT = 2.0  # of the fall time: how long it may wait for one that asks for this server first
-USE = 0.75  # share of what the settings allow that is granted at most: sums vary by chance
+USE = 0.9  # share of what the settings allow that is granted at most: sums vary by chance
 SPREAD = (
     0.5  # of the time in which it warms up: so long the proxies take to end its ramp, one after the other
 )
@@ -31,14 +31,18 @@
 MOST_TRUST = 4.0  # beyond, it has no effect, and would be lost too slowly
 
 
-def share(age: float, trust: float, rules: Settings) -> float:
+def share(age: float, trust: float, told: bool, rules: Settings) -> float:
     """Of a warm server's usual rate, how much it may be sent ``age`` ms after its start.
 
     ``trust`` (1 or more) grows with quick answers. Nobody tells how a server warms up: without trust it gets
-    what it can bear should it stay at its first share, with trust no more than a steady way up bears.
+    what it can bear should it stay at its first share, with trust no more than a steady way up bears. Where
+    its start was not ``told``, but supposed after a long silence, it was most likely cut off and is warm:
+    trust alone says how much.
     """
     linear = rules.cold_share + (1.0 - rules.cold_share) * min(1.0, max(0.0, age) / rules.cold_time)
     steady = USE * rules.fall_multiple / (1.0 + LIFE) * linear
+    if not told:
+        return min(linear, USE * rules.fall_multiple * rules.cold_share) * trust
     return min(linear, steady, USE * rules.fall_multiple * rules.cold_share * trust)
 
 
--- a/martentide/rules.py
+++ b/martentide/rules.py
@@ -358,6 +358,7 @@
             if server.suspect and server.silent and now - server.suspect_from - heard > LONG_SILENCE:
                 # It may have restarted, cold, long before the list tells; if not, trust in it grows fast.
                 self._cool(server, now, now)
+                server.cold_tokens = max(server.cold_tokens, self.part)
             server.suspect = server.silent = False
         server.heard_at = now
         self._pressure(now, server, None, wait)
@@ -685,18 +686,22 @@
         """Set-ups a cold server has room for, of calls that ask for it first or not; None when it is warm."""
         if server.cold_from is None:
             return None
-        age = now - server.cold_from
-        share = slow_start.share(age, server.cold_trust, self.settings)
-        if slow_start.over(age, server.cold_spread, self.settings):
+        age, told = now - server.cold_from, server.entry.started == server.cold_from
+        share = slow_start.share(age, server.cold_trust, told, self.settings)
+        if slow_start.over(age, server.cold_spread if told else 0.0, self.settings):
             server.cold_from = None
             return None
         usual = self.pace * server.entry.size
-        if not self.warm and self.pace == 0.0:
-            usual = BOUND_FLOOR * self.part  # nothing tells what one can do, and there is no other to go to
+        if not told or (not self.warm and self.pace == 0.0):
+            usual = max(usual, BOUND_FLOOR * self.part)  # nothing tells what one can do, nor that it is cold
         rate, elapsed = usual * share * self.own_share, now - server.cold_filled
         server.cold_tokens = slow_start.refilled(server.cold_tokens, rate, elapsed, self.settings)
         server.cold_filled = now
-        return server.cold_tokens if first else slow_start.young(server.cold_tokens, rate, self.settings)
+        return (
+            server.cold_tokens
+            if first or not told
+            else slow_start.young(server.cold_tokens, rate, self.settings)
+        )
 
     def _bears_probe(self, server: Server, now: float) -> bool:
         """Whether a probe may go there; a cold server's is work that its budget counts."""
