--- a/tests/net/test_board.py
+++ b/tests/net/test_board.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 
 import pytest
 
@@ -49,3 +50,22 @@
 
     asyncio.run(play())
     assert asked[: len(pauses)] == pauses
+
+
+def test_a_dial_that_finds_no_descriptor_asks_for_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    met: list[OSError] = []
+
+    async def refuse(*_: object) -> None:
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    async def play() -> None:
+        monkeypatch.setattr(asyncio, "open_connection", refuse)
+        board = Board(Address("127.0.0.1", 1), 0, ("east",), 5.0, lambda notice: None, met.append)
+        task = asyncio.create_task(board.run())
+        async with asyncio.timeout(10):
+            while len(met) < 2:
+                await asyncio.sleep(0.01)
+        task.cancel()
+
+    asyncio.run(play())
+    assert [error.errno for error in met[:2]] == [errno.EMFILE] * 2
