A board whose connections end at once is not dialled in a loop

The quick dial after a connection that told something holds for one that lasted half a second: a board that told a frame and closed, each time, would have been dialled forty times a second by every proxy. A case in tests/net/test_board.py fails without.

--- a/martentide/net/board.py
+++ b/martentide/net/board.py
@@ -15,14 +15,14 @@
 
 SILENCE = 2.2  # s without a frame after which the connection is dead
 REDIAL_AFTER = (0.1, 0.4)  # s, drawn between the two
-# s instead after a connection that told something: what is listed counts as told meanwhile, and a drain may
-# have a grace of less than the other.
-REDIAL_FIRST = (0.0, 0.05)
+# s instead after a connection that lasted and told something: what is listed counts as told meanwhile, and a
+# drain may have a grace of less than the other. One that ends sooner is not dialled in a loop.
+REDIAL_FIRST, LASTED = (0.0, 0.05), 0.5
 
 
 @dataclass(frozen=True, slots=True)
 class FollowEnded:
-    """The ``attempt``-th connection to the board is over, or none came up; ``lived``: a frame came on it."""
+    """The ``attempt``-th connection to the board is over, or none came up; ``lived``: it lasted and told."""
 
     attempt: int
     lived: bool
@@ -79,7 +79,7 @@
     async def _follow(self, attempt: int, pause: float) -> None:
         """One connection, from its dial to its one log line."""
         await asyncio.sleep(pause)
-        address = self.address
+        address, begun_at = self.address, asyncio.get_running_loop().time()
         writer: asyncio.StreamWriter | None = None
         reason, detail, lived = Reason.INTERNAL, "", False
         try:
@@ -115,5 +115,6 @@
         finally:
             if writer is not None:
                 writer.close()
+            lasted = asyncio.get_running_loop().time() - begun_at >= LASTED
             log_ended("board", str(address), reason, detail)
-            self.mailbox.put_nowait(FollowEnded(attempt, lived))
+            self.mailbox.put_nowait(FollowEnded(attempt, lived and lasted))
--- a/tests/net/test_board.py
+++ b/tests/net/test_board.py
@@ -13,17 +13,19 @@
 
 
 @pytest.mark.parametrize(
-    ("told", "pauses"),
+    ("told", "lasts", "pauses"),
     [
-        (frame(1, 0), [REDIAL_FIRST, REDIAL_AFTER, REDIAL_AFTER]),  # then nobody listens any more
-        (b"", [REDIAL_AFTER, REDIAL_AFTER, REDIAL_AFTER]),
-        (frame(1, 0)[:5], [REDIAL_AFTER, REDIAL_AFTER, REDIAL_AFTER]),
+        (frame(1, 0), 0.0, [REDIAL_FIRST, REDIAL_AFTER, REDIAL_AFTER]),  # then nobody listens any more
+        (b"", 0.0, [REDIAL_AFTER, REDIAL_AFTER, REDIAL_AFTER]),
+        (frame(1, 0)[:5], 0.0, [REDIAL_AFTER, REDIAL_AFTER, REDIAL_AFTER]),
+        (frame(1, 0), 60.0, [REDIAL_AFTER, REDIAL_AFTER, REDIAL_AFTER]),  # it ended sooner than counts
     ],
 )
 def test_a_board_that_told_something_is_dialled_again_at_once(
-    monkeypatch: pytest.MonkeyPatch, told: bytes, pauses: list[tuple[float, float]]
+    monkeypatch: pytest.MonkeyPatch, told: bytes, lasts: float, pauses: list[tuple[float, float]]
 ) -> None:
-    """Guards against a drain with a short grace that is told while nobody listens."""
+    """Guards against a drain with a short grace that is told while nobody listens; ``lasts``: in s."""
+    monkeypatch.setattr("martentide.net.board.LASTED", lasts)
     asked: list[tuple[float, float]] = []
 
     def uniform(least: float, most: float) -> float:
