--- a/benchmarks/cold_sum.py
+++ b/benchmarks/cold_sum.py
@@ -59,7 +59,7 @@
             when = site.now + 1_000.0 + 1_000.0 * math.floor(10.0 * at / proxies)
             site.at(when, lambda at=at: site.restart(at, lambda old, new: None))  # type: ignore[misc]
     site.run(end)
-    worst, _ = site.cold_sum(cold)
+    worst = site.cold_sum(cold)
     warm = [sum(1 for when in one.came if when > START + REPLACED) for one in servers[1:]]
     return worst, len(cold.came) / max(1.0, statistics.fmean(warm))
 
--- a/martentide_lab/sim.py
+++ b/martentide_lab/sim.py
@@ -13,7 +13,7 @@
 import math
 import random
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from martentide.fleet.duty import Duty, look
@@ -375,10 +375,9 @@
                     got += kind.worth
         return got / asked if asked else 1.0
 
-    def cold_sum(self, server: Processor) -> tuple[float, float]:
-        """The most that came in a window of the fall-over time, from all proxies: over what the settings
-        allow by then with twice its deviation and two more (1: the limit), and over the allowed alone."""
-        span, ratio, mean = self.settings.fall_time, 0.0, 0.0
+    def _cold_windows(self, server: Processor) -> Iterator[tuple[int, float]]:
+        """For each set-up that came to a cold server: how many came in the fall-over time, how many may."""
+        span = self.settings.fall_time
         window: deque[float] = deque()
         for when in server.came:
             if server.started is None or when > server.started + self.settings.cold_time:
@@ -386,22 +385,16 @@
             window.append(when)
             while window[0] <= when - span:
                 window.popleft()
-            allowed = self.settings.fall_multiple * server.capacity(when, self.settings) * span / 1000.0
-            ratio = max(ratio, len(window) / (allowed + 2.0 * math.sqrt(allowed) + 2.0))
-            mean = max(mean, len(window) / allowed)
-        return ratio, mean
+            yield (
+                len(window),
+                self.settings.fall_multiple * server.capacity(when, self.settings) * span / 1000.0,
+            )
+
+    def cold_sum(self, server: Processor) -> float:
+        """The worst window, over what may come with twice its deviation and two more (1: the limit)."""
+        windows = self._cold_windows(server)
+        return max((count / (may + 2.0 * math.sqrt(may) + 2.0) for count, may in windows), default=0.0)
 
     def cold_use(self, server: Processor) -> float:
-        """The most that came in a window of the fall-over time, over what the rule allows (1: the limit)."""
-        window: deque[float] = deque()
-        most = 0.0
-        span = self.settings.fall_time
-        for when in server.came:
-            if server.started is None or when > server.started + self.settings.cold_time:
-                break
-            window.append(when)
-            while window[0] <= when - span:
-                window.popleft()
-            allowed = self.settings.fall_multiple * server.capacity(when, self.settings) * span / 1000.0
-            most = max(most, len(window) / max(1.0, allowed))
-        return most
+        """The worst window, over what the rule allows (1: the limit)."""
+        return max((count / max(1.0, may) for count, may in self._cold_windows(server)), default=0.0)
