Start a successor gently beside the process in service; control tier's cores, checker, scale tests

While a successor's imports run, both use up the processor time that they share. Ruled out: the hand-over itself (it came later), the loop of the old process (no log line, no step in that time). Change: where a handover socket is found, imports pause for as long as they ran. Also in this commit, off everywhere: the pure cores of the control tier (martentide/control/), simulated tier with invariants, benchmarks/scale; flat fleet's comparisons go by an index of buckets, a full member table is logged.

--- /dev/null
+++ b/benchmarks/scale/__main__.py
@@ -0,0 +1,140 @@
+"""``python -m benchmarks.scale SECTION [--sizes N,N] [--short] [--seed N]``; ``page`` writes the tables of
+``docs/CAPACITY.md`` from the results. The short form checks counts and slopes of bytes, which do not depend
+on the machine, and saves nothing. ``tier`` prints a line ``RESULT {json}`` for each size.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+
+import click
+
+from benchmarks.fleet_rules import simulated
+from benchmarks.scale import latency, membership, page, state, tier
+from benchmarks.scale.fits import fit
+from benchmarks.scale.results import Row, draw, save
+from martentide_lab.control.layout import Layout
+
+SMALL_SERVICES = 30  # of the short form: fewer proxies have fewer services
+VOTERS = 5
+RATES = (40, 100, 200, 400)
+
+
+@click.group()
+def main() -> None:
+    """How the program grows with the fleet."""
+
+
+def sizes_option(default: str) -> Callable[[Callable[..., None]], Callable[..., None]]:
+    return click.option("--sizes", default=default, show_default=True)
+
+
+def services_of(proxies: int) -> int:
+    """As many members in each service, and so as much to tell a subscriber, as at the planned size."""
+    planned = Layout()
+    return max(planned.called + 1, round(proxies * planned.services / planned.proxies))
+
+
+def numbers(text: str) -> list[int]:
+    return [int(one) for one in text.split(",")]
+
+
+def show(rows: list[Row]) -> None:
+    for row in rows:
+        click.echo("  ".join(f"{name}={value}" for name, value in row.items()))
+
+
+@main.command("membership")
+@sizes_option("64,200,1000,2000,4700")
+@click.option("--short", is_flag=True)
+def membership_command(sizes: str, short: bool) -> None:
+    """A member of the flat fleet that knows N others."""
+    rows = [membership.measure(count) for count in ([64, 200] if short else numbers(sizes))]
+    show(rows)
+    if short:
+        check(all(float(row["bytes_per_s"] or 0) < 4_000 for row in rows), "a calm member says over 4 kB/s")
+        return
+    save("membership", rows)
+    draw("membership", rows, "members", ["processor_ms_per_s"])
+
+
+@main.command("state")
+@sizes_option("25,50,100,200")
+@click.option("--short", is_flag=True)
+def state_command(sizes: str, short: bool) -> None:
+    """Entries of everybody to everybody by gossip."""
+    rows = [state.measure(count) for count in ([12, 25] if short else numbers(sizes))]
+    show(rows)
+    if short:
+        check(float(rows[0]["missing_share"] or 0) < 0.01, "entries are missing at 12 members")
+        return
+    save("state", rows)
+    draw("state", rows, "members", ["missing_share"])
+
+
+@main.command("config")
+@sizes_option("9,64,200")
+@click.option("--short", is_flag=True)
+def config_command(sizes: str, short: bool) -> None:
+    """What the leader of the agreement sends, a change of rules each second."""
+    rows: list[Row] = [simulated(count, VOTERS, 1) for count in ([9, 25] if short else numbers(sizes))]
+    show(rows)
+    if short:
+        check(all(not row["broken"] for row in rows), "an invariant of the agreement is broken")
+        return
+    save("config", rows)
+    draw("config", rows, "members", ["leader_bytes_s"])
+
+
+@main.command("latency")
+@click.option("--short", is_flag=True)
+def latency_command(short: bool) -> None:
+    """What one proxy adds to a call's set-up."""
+    rows = asyncio.run(latency.measure(RATES[:1] if short else RATES))
+    show(rows)
+    if not short:
+        save("latency", rows)
+        draw("latency", rows, "calls_per_s", ["added_p50_ms", "added_p99_ms"])
+
+
+@main.command("tier")
+@sizes_option("600,1000,2000,4700")
+@click.option("--short", is_flag=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--loss", default=0.0, show_default=True, help="share of datagrams lost on all links")
+def tier_command(sizes: str, short: bool, seed: int, loss: float) -> None:
+    """The control tier through an ordinary day's events."""
+    layouts = [Layout(count, services=services_of(count)) for count in numbers(sizes)]
+    if short:
+        layouts = [Layout(count, 6, services=SMALL_SERVICES) for count in (150, 300)]
+    results = []
+    for layout in layouts:
+        results.append(tier.play_day(layout, seed, loss))
+        click.echo("RESULT " + json.dumps(results[-1]))
+    rows = [tier.flat(result) for result in results]
+    if len(rows) > 1:
+        slope = fit(
+            [layout.proxies for layout in layouts], [float(row["bytes_per_s_proxy"] or 0) for row in rows]
+        )
+        click.echo(f"slope_bytes_per_member {slope.slope:.4f} +- {slope.slope_error:.4f}")
+    check(not any(row["rules_broken"] for row in rows), "an invariant is broken")
+    if not short:
+        save("tier_loss" if loss else "tier", rows)
+        draw("tier", rows, "proxies", ["bytes_per_s_proxy", "bytes_per_s_proxy_p99"])
+
+
+@main.command("page")
+def page_command() -> None:
+    """Write the tables of the capacity page from the results."""
+    page.write()
+
+
+def check(holds: bool, otherwise: str) -> None:
+    if not holds:
+        raise click.ClickException(otherwise)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/martentide/control/shares.py
@@ -0,0 +1,198 @@
+"""What one control node knows of services: its own leases and the shares of the other nodes, and their sum.
+
+Members of a zone may hold leases at several nodes. Within a region nodes tell each other of members one by
+one, so that a member which two of them hold counts once, by its later lease. To other regions they tell sums.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from martentide.control.messages import MemberState, StateEntry, size
+
+DetailKey = tuple[str, str, str]  # service, region, zone
+SumKey = tuple[str, str]  # service, region
+
+
+def summed(service: str, region: str, entries: Iterable[StateEntry]) -> StateEntry:
+    """One entry for all of them: members up, capacity, and pressure weighted by capacity."""
+    up = capacity = weighted = 0
+    for entry in entries:
+        up += entry.up
+        capacity += entry.capacity
+        weighted += entry.capacity * entry.pressure
+    return StateEntry(service, region, "", up, capacity, weighted // capacity if capacity else 0)
+
+
+def of_members(key: DetailKey, members: Iterable[MemberState]) -> StateEntry:
+    """The entry of a zone from its members."""
+    listed = sorted(members, key=lambda member: member.name)
+    capacity = sum(member.capacity for member in listed)
+    weighted = sum(member.capacity * member.pressure for member in listed)
+    return StateEntry(*key, len(listed), capacity, weighted // capacity if capacity else 0, listed)
+
+
+@dataclass(frozen=True, slots=True)
+class SizedEntry:
+    """An entry, and the bytes that it takes in a message."""
+
+    entry: StateEntry
+    size: int
+
+
+class Shares:
+    """``own`` is this node's name. Values are merged as they are asked for, and kept until a part changes."""
+
+    def __init__(self, own: str) -> None:
+        self.own = own
+        self.members: dict[DetailKey, dict[str, dict[str, MemberState]]] = {}  # by source, then name
+        self.sums: dict[SumKey, dict[str, StateEntry]] = {}  # by source, of nodes in other regions
+        self.zones: dict[SumKey, set[str]] = {}
+        self.regions: dict[str, set[str]] = {}  # of each service
+        self.merged: dict[DetailKey, StateEntry] = {}
+        self.values: dict[
+            tuple[DetailKey, bool], SizedEntry
+        ] = {}  # by whether the reader's region is the key's
+
+    # ---- changes ----------------------------------------------------------------------------------------
+
+    def set_member(self, key: DetailKey, member: MemberState) -> None:
+        """An own lease's member is as ``member`` says from now on."""
+        self._source(key, self.own)[member.name] = member
+        self._outdated(key)
+
+    def drop_member(self, key: DetailKey, name: str) -> None:
+        sources = self.members.get(key)
+        if sources is not None and sources.get(self.own, {}).pop(name, None) is not None:
+            self._tidy(key, self.own)
+            self._outdated(key)
+
+    def set_share(self, source: str, entry: StateEntry) -> None:
+        """Another node's entry takes the place of its earlier one."""
+        if entry.zone:
+            self._source(entry.key, source).clear()
+            self._source(entry.key, source).update({member.name: member for member in entry.members})
+            self._tidy(entry.key, source)
+            self._outdated(entry.key)
+            return
+        key = (entry.service, entry.region)
+        self._outdated(entry.key)
+        if entry.up:
+            self.regions.setdefault(entry.service, set()).add(entry.region)
+            self.sums.setdefault(key, {})[source] = entry
+        else:
+            self.sums.get(key, {}).pop(source, None)
+            self._tidy_region(*key)
+
+    def drop_source(self, source: str) -> list[DetailKey]:
+        """Nothing of that node counts any more; what has changed by it."""
+        changed: list[DetailKey] = []
+        for key in [key for key, sources in self.members.items() if source in sources]:
+            del self.members[key][source]
+            self._tidy(key, source)
+            self._outdated(key)
+            changed.append(key)
+        for (service, region), sums in list(self.sums.items()):
+            if sums.pop(source, None) is not None:
+                changed.append((service, region, ""))
+                self._outdated((service, region, ""))
+                self._tidy_region(service, region)
+        return changed
+
+    def _outdated(self, key: DetailKey) -> None:
+        """The values that the key is part of are to be merged anew."""
+        self.merged.pop(key, None)
+        whole = (key[0], key[1], "")
+        for one in ((key, True), (key, False), (whole, True), (whole, False)):
+            self.values.pop(one, None)
+
+    def _source(self, key: DetailKey, source: str) -> dict[str, MemberState]:
+        service, region, zone = key
+        self.zones.setdefault((service, region), set()).add(zone)
+        self.regions.setdefault(service, set()).add(region)
+        return self.members.setdefault(key, {}).setdefault(source, {})
+
+    def _tidy(self, key: DetailKey, source: str) -> None:
+        """Keep no empty tables: services and zones come and go."""
+        sources = self.members.get(key, {})
+        if source in sources and not sources[source]:
+            del sources[source]
+        if sources:
+            return
+        self.members.pop(key, None)
+        service, region, zone = key
+        zones = self.zones.get((service, region), set())
+        zones.discard(zone)
+        if not zones:
+            self.zones.pop((service, region), None)
+            self._tidy_region(service, region)
+
+    def _tidy_region(self, service: str, region: str) -> None:
+        if (service, region) in self.zones or self.sums.get((service, region)):
+            return
+        self.sums.pop((service, region), None)
+        regions = self.regions.get(service, set())
+        regions.discard(region)
+        if not regions:
+            self.regions.pop(service, None)
+
+    # ---- values -----------------------------------------------------------------------------------------
+
+    def own_share(self, key: DetailKey) -> StateEntry:
+        """What this node tells the others of its region: its own members of that zone."""
+        return of_members(key, self.members.get(key, {}).get(self.own, {}).values())
+
+    def own_sum(self, key: SumKey) -> StateEntry:
+        """What this node tells other regions: the sum of its own members."""
+        shares = [self.own_share((*key, zone)) for zone in self.zones.get(key, ())]
+        return summed(*key, shares)
+
+    def own_keys(self) -> list[DetailKey]:
+        return [key for key, sources in self.members.items() if self.own in sources]
+
+    def value(self, key: DetailKey, reader: str) -> SizedEntry:
+        """The entry of that key for a reader of that region: details of its own, sums of others. An own
+        region's sum is what nodes of other regions hold of it."""
+        near = key[1] == reader
+        known = self.values.get((key, near))
+        if known is None:
+            entry = self._detail(key) if key[2] else self._sum(key, near)
+            known = self.values[(key, near)] = SizedEntry(entry, size(entry))
+        return known
+
+    def _sum(self, key: DetailKey, near: bool) -> StateEntry:
+        service, region, _ = key
+        parts = list(self.sums.get((service, region), {}).values())
+        if not near:
+            parts += [self._detail((service, region, zone)) for zone in self.zones.get((service, region), ())]
+        return summed(service, region, parts)
+
+    def keys(self, service: str, reader: str) -> list[DetailKey]:
+        """All keys of a service that a reader of that region may hold."""
+        found: list[DetailKey] = []
+        for region in sorted(self.regions.get(service, ())):
+            if region == reader:
+                found += [(service, region, zone) for zone in sorted(self.zones.get((service, region), ()))]
+            if region != reader or self.sums.get((service, region)):
+                found.append((service, region, ""))
+        return found
+
+    def _detail(self, key: DetailKey) -> StateEntry:
+        entry = self.merged.get(key)
+        if entry is None:
+            latest: dict[str, MemberState] = {}
+            for source in self.members.get(key, {}).values():
+                for name, member in source.items():
+                    known = latest.get(name)
+                    if known is None or member.epoch > known.epoch:
+                        latest[name] = member
+            entry = self.merged[key] = of_members(key, latest.values())
+        return entry
+
+
+def digest(entries: Iterable[StateEntry]) -> int:
+    """A short sum over entries, the same wherever the same is held; never 0."""
+    ordered = sorted(entries, key=lambda entry: entry.key)
+    return zlib.crc32(repr(ordered).encode()) | 1 << 32
--- a/martentide/fleet/core.py
+++ b/martentide/fleet/core.py
@@ -37,6 +37,7 @@
 MOST_RELAYS = 256  # probes on behalf of others that are under way
 MOST_NEWS = 4_096  # pieces of news that wait to be told; older ones are made good by comparisons
 MOST_PASSED = 16  # facets that one datagram passes over for want of bytes, to come to those that end soon
+FULL_GAP = 60_000.0  # ms between two words of a table that is full
 OLDEST_ECHO = 60_000  # ms a stamp may have been kept by the other
 DRIFT = 0.001  # by which two clocks' paces may differ
 FAREWELLS = 12  # members that are told of a departure at once
@@ -134,7 +135,14 @@
     body: bytes
 
 
-Action = Send | Changed | Learned | Displaced | Late | Carried
+@dataclass(frozen=True, slots=True)
+class TableFull:
+    """Members beyond ``most`` are not taken up (``Terms.most_members``); said again after FULL_GAP."""
+
+    most: int
+
+
+Action = Send | Changed | Learned | Displaced | Late | Carried | TableFull
 
 
 @dataclass(slots=True)
@@ -226,6 +234,8 @@
         self.up: tuple[MemberWord, ...] | None = ()  # the words of the others; None: to be read anew
         self.places: dict[Address, Name] = {}  # who was heard of there last
         self.sums = [0] * BUCKETS
+        self.in_bucket: list[dict[Name, None]] = [{} for _ in range(BUCKETS)]  # of ``members``
+        self.full_told = -1e18  # when the table's being full was last said
         self.past: OrderedDict[Address, None] = OrderedDict()  # of the dead that were forgotten
         self.facets: dict[int, Facet] = {}
         self.owners: dict[int, dict[Name, None]] = {}  # who may have a facet of that kind
@@ -337,6 +347,7 @@
         self.gone.clear()
         self.places.clear()
         self.sums = [0] * BUCKETS
+        self.in_bucket = [{} for _ in range(BUCKETS)]
         self.order.clear()
         self.suspects.clear()
         self.news.clear()
@@ -509,7 +520,7 @@
 
     def _forget(self, own: float) -> None:
         """What is past its end: facets, the dead, and addresses that are somebody's again."""
-        for member in [one for one in self.members.values() if one.facets]:
+        for member in [self.members[name] for name in self._owners() if name in self.members]:
             old = [kind for kind, facet in member.facets.items() if facet.age(self.now) >= facet.word.end]
             for kind in old:
                 del member.facets[kind]
@@ -520,6 +531,7 @@
         ]:
             self.gone.discard(name)
             member = self.members.pop(name)
+            del self.in_bucket[bucket(name)][name]
             if self.places.get(member.address) == name:
                 del self.places[member.address]
             if member.state is State.DEAD:
@@ -527,6 +539,10 @@
         for address in [one for one in self.past if one in self.places]:
             del self.past[address]
 
+    def _owners(self) -> set[Name]:
+        """Who may have a facet."""
+        return {name for owners in self.owners.values() for name in owners}
+
     def _remember(self, address: Address) -> None:
         self.past[address] = None
         while len(self.past) > self.terms.past:
@@ -866,8 +882,12 @@
             return  # also a suspect: if it lives, its refutation makes it known
         if len(self.members) >= self.terms.most_members:
             self.counts["no-room"] += 1
+            if self.now - self.full_told >= FULL_GAP:
+                self.full_told = self.now
+                self.actions.append(TableFull(self.terms.most_members))
             return
         member = self.members[word.name] = Member(word, self.own, self.own)
+        self.in_bucket[bucket(word.name)][word.name] = None
         self.up = None
         self.places[member.address] = word.name
         self.order.insert(self.random.randint(0, len(self.order)), word.name)
@@ -1022,15 +1042,11 @@
             self.joining = False
             return
         self.random.shuffle(differ)
-        by_bucket: dict[int, list[Name]] = {at: [] for at in differ}
-        for name in (self.me.name, *self.members):
-            if (at := bucket(name)) in by_bucket:
-                by_bucket[at].append(name)
         room = DATAGRAM - FRAME - size(self.me) - 2 * BUCKETS
         held: list[Held] = []
         told: list[int] = []
         for at in differ:
-            entries = [one for name in by_bucket[at] if (one := self._hold(name)) is not None]
+            entries = [one for name in self._names_in(at) if (one := self._hold(name)) is not None]
             need = sum(size(one) for one in entries)
             if need > room and told:
                 break
@@ -1045,18 +1061,23 @@
                 held=held,
             )  # fmt: skip
 
+    def _names_in(self, at: int) -> list[Name]:
+        """Who is in that bucket, this member among them."""
+        if not 0 <= at < BUCKETS:
+            return []
+        me = [self.me.name] if bucket(self.me.name) == at else []
+        return [*me, *self.in_bucket[at]]
+
     def _exchange(self, said: Datagram, member: Member) -> None:
         """Send what the other lacks; ask, once, for what is lacking here (``target`` marks that answer)."""
         asked = said.target == ""
-        mine = {self.me.name, *self.members}
-        buckets = set(said.buckets)
         lacking: list[Held] = []
         words: list[MemberWord] = []
         facets: list[FacetWord] = []
         seen = set()
         for theirs in said.held:
             seen.add(theirs.name)
-            own = self._hold(theirs.name) if theirs.name in mine else None
+            own = self._hold(theirs.name)
             if own is None:
                 if asked and theirs.state < State.DEAD:
                     lacking.append(Held(theirs.name, 0, 0, 0, 0, {}))
@@ -1068,9 +1089,9 @@
             ):
                 lacking.append(own)
         if asked:
+            mine = {name for at in set(said.buckets) for name in self._names_in(at)}
             for name in sorted(mine - seen):
-                if bucket(name) in buckets:
-                    self._bring(Held(name, 0, 0, 0, 0, {}), words, facets)
+                self._bring(Held(name, 0, 0, 0, 0, {}), words, facets)
         self.joining = False
         if lacking:
             self.sync_due = min(self.sync_due, self.own + QUICK_SYNC)
--- a/martentide/fleet/wire.py
+++ b/martentide/fleet/wire.py
@@ -145,12 +145,16 @@
     def _check(self, data: bytes) -> bytes:
         return hashlib.blake2s(data, digest_size=CHECK, key=self.key).digest()
 
-    def write(self, datagram: Datagram) -> bytes:
-        data = self.head + _ENCODER.encode(datagram)
+    def seal(self, body: bytes) -> bytes:
+        """The body as a datagram of this fleet."""
+        data = self.head + body
         return data + self._check(data)
 
-    def read(self, data: bytes) -> Datagram:
-        """Raises Unreadable."""
+    def write(self, datagram: Datagram) -> bytes:
+        return self.seal(_ENCODER.encode(datagram))
+
+    def open(self, data: bytes) -> bytes:
+        """The body of a datagram of this fleet; raises Unreadable."""
         if len(data) > DATAGRAM:
             raise Unreadable(Bad.OVERSIZED)
         if len(data) < HEAD + CHECK or data[:2] != MAGIC:
@@ -161,8 +165,12 @@
             raise Unreadable(Bad.OTHER_FLEET)
         if self._check(data[:-CHECK]) != data[-CHECK:]:
             raise Unreadable(Bad.DAMAGED)
+        return data[HEAD:-CHECK]
+
+    def read(self, data: bytes) -> Datagram:
+        """Raises Unreadable."""
         try:
-            said = _DECODER.decode(data[HEAD:-CHECK])
+            said = _DECODER.decode(self.open(data))
         except (msgspec.DecodeError, msgspec.ValidationError, RecursionError):
             raise Unreadable(Bad.MALFORMED) from None
         if not sound(said):
--- a/martentide/net/fleet/member.py
+++ b/martentide/net/fleet/member.py
@@ -29,6 +29,7 @@
     Learned,
     Publish,
     Send,
+    TableFull,
 )
 from martentide.fleet.core import (
     Event as CoreEvent,
@@ -308,6 +309,8 @@
                     "fleet-displaced", member=by.name, address=f"{by.host}:{by.port}", life=by.life,
                     detail=repr("another process bears this name by a newer right; this one acts alone"),
                 )  # fmt: skip
+            case TableFull(most):
+                LOG.warning("fleet-full", most_members=most)
             case Late(span):
                 self.counts["late"] += 1
                 log_event("fleet-late", ms=round(span))
--- a/martentide_lab/fleet/simulated.py
+++ b/martentide_lab/fleet/simulated.py
@@ -5,8 +5,6 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -30,6 +28,7 @@
 from martentide.fleet.wire import Datagram, Frame, Kind, Unreadable
 from martentide_lab.fleet.faults import Link, Network, damaged
 from martentide_lab.fleet.story import Event, Step, split_names
+from martentide_lab.simulation import Simulation
 
 MOST_WAITING = 200  # datagrams that the socket of a stopped process holds
 PACES = (0.0, 0.0004, -0.0004, 0.0002, -0.0001)  # by which members' clocks run apart: within the core's DRIFT
@@ -63,7 +62,7 @@
         return (own - self.offset) / self.pace
 
 
-class SimulatedFleet:
+class SimulatedFleet(Simulation):
     """``zone_of`` names the zone of the n-th member; the first ``seeds`` members are everybody's seeds."""
 
     def __init__(
@@ -77,14 +76,12 @@
         name: str = "f",
         wire: bool = True,  # False: datagrams go as they are, which is quicker; damaged ones are lost
     ) -> None:
+        super().__init__()
         self.wire = wire
         self.dice = random.Random(seed)
         self.terms = terms or Terms()
         self.network = Network(base or Link(delay=1.0, jitter=2.0))
         self.frame = Frame(name)
-        self.now = 0.0
-        self.queue: list[tuple[float, int, Callable[[], None]]] = []
-        self.order = itertools.count()
         self.log: list[Event] = []
         self.observers: list[Callable[[str, Action], None]] = []
         self.nodes: dict[str, Node] = {}
@@ -99,19 +96,6 @@
 
     # ---- time -------------------------------------------------------------------------------------------
 
-    def later(self, delay: float, what: Callable[[], None]) -> None:
-        heapq.heappush(self.queue, (self.now + delay, next(self.order), what))
-
-    def run(self, until: float) -> None:
-        while self.queue and self.queue[0][0] <= until:
-            self.step()
-        self.now = until
-
-    def step(self) -> None:
-        """The next thing that happens."""
-        self.now, _, what = heapq.heappop(self.queue)
-        what()
-
     def play(self, steps: tuple[Step, ...], until: float) -> list[Event]:
         """All members start at once; then the steps; the log of it all."""
         for step in steps:
--- /dev/null
+++ b/tests/control/test_cores.py
@@ -0,0 +1,360 @@
+"""A control node and proxies' clients by themselves: leases, bounds, subscriptions, resync, bad input."""
+
+from __future__ import annotations
+
+import pytest
+
+from martentide.control import client, node
+from martentide.control.budget import TokenBucket
+from martentide.control.client import Alone, Attached, ControlClient, FromNode, ProxyInfo, SendToNode
+from martentide.control.messages import (
+    AskAnew,
+    Granted,
+    Heartbeat,
+    Join,
+    Leave,
+    MemberState,
+    StateEntry,
+    Summary,
+    TurnedAway,
+    Update,
+    read_control,
+    write_control,
+)
+from martentide.control.node import ControlNode, FromPeer, FromProxy, PeerUp, SendToPeer, SendToProxy
+from martentide.control.placement import NodeInfo, preference
+from martentide.control.shares import Shares, digest
+from martentide.control.terms import ControlTerms
+from martentide.fleet.wire import Unreadable
+
+TERMS = ControlTerms()
+NODES = (NodeInfo("n0", "r0"), NodeInfo("n1", "r0"), NodeInfo("n2", "r1"))
+
+
+def join(name: str, epoch: int = 1, region: str = "r0", **held: int) -> Join:
+    return Join(name, 7, epoch, region, "z0", "s0", 100, 0, held or {"s0": 0})
+
+
+class OneNode:
+    """A node whose time the test moves."""
+
+    def __init__(self, terms: ControlTerms = TERMS) -> None:
+        self.now = 0.0
+        self.core = ControlNode("n0", NODES, terms, self.now)
+
+    def hear(self, message: Join | Heartbeat | Leave) -> list[node.Action]:
+        return self.core.handle(self.now, FromProxy(message, message.name))
+
+    def wait(self, span: float) -> list[node.Action]:
+        done: list[node.Action] = []
+        until = self.now + span
+        while self.now < until:
+            self.now += TERMS.flush
+            done += self.core.handle(self.now, node.Due())
+        return done
+
+
+def updates(actions: list[node.Action], name: str) -> list[Update]:
+    return [
+        one.message
+        for one in actions
+        if isinstance(one, SendToProxy) and one.address == name and isinstance(one.message, Update)
+    ]
+
+
+# ---- placement ------------------------------------------------------------------------------------------
+
+
+def test_the_own_region_comes_first_and_a_lost_node_moves_its_own_proxies_only() -> None:
+    nodes = [NodeInfo(f"n{at}", f"r{at % 2}") for at in range(6)]
+    for at in range(50):
+        order = preference(f"p{at}", "r1", nodes)
+        assert {int(name[1:]) % 2 for name in order[:3]} == {1}
+        less = preference(f"p{at}", "r1", [one for one in nodes if one.name != order[0]])
+        assert less == order[1:]
+
+
+def test_weights_share_proxies_out() -> None:
+    nodes = [NodeInfo("light", "r0", 1.0), NodeInfo("heavy", "r0", 3.0)]
+    first = [preference(f"p{at}", "r0", nodes)[0] for at in range(2_000)]
+    assert 0.7 < first.count("heavy") / len(first) < 0.8
+
+
+# ---- leases ---------------------------------------------------------------------------------------------
+
+
+def test_a_lease_is_granted_renewed_and_ends() -> None:
+    one = OneNode()
+    (granted,) = one.hear(join("p0"))
+    assert isinstance(granted, SendToProxy) and granted.message == Granted("n0", 1, [])
+    one.wait(TERMS.lease - 200)
+    one.hear(Heartbeat("p0", 1, 1, 100, 0, 0, []))
+    one.wait(TERMS.lease - 200)
+    assert "p0" in one.core.leases
+    one.wait(800)
+    assert not one.core.leases and not one.core.by_service and not one.core.shares.members
+    (answer,) = one.hear(Heartbeat("p0", 1, 1, 100, 0, 0, []))
+    assert isinstance(answer, SendToProxy) and answer.message == TurnedAway("n0", 1, False, 0, True)
+
+
+def test_joins_are_bounded_and_a_hurried_one_is_told_when() -> None:
+    one = OneNode()
+    answers = [one.hear(join(f"p{at}"))[0] for at in range(int(TERMS.joins_burst) + 5)]
+    messages = [answer.message for answer in answers if isinstance(answer, SendToProxy)]
+    granted = [message for message in messages if isinstance(message, Granted)]
+    hurried = [message for message in messages if isinstance(message, TurnedAway)]
+    assert len(granted) == TERMS.joins_burst and all(not m.full and m.retry > 0 for m in hurried)
+
+
+def test_a_node_over_its_bound_turns_newcomers_away_and_sheds() -> None:
+    terms = ControlTerms(least_bound=4, joins_burst=100.0)
+    one = OneNode(terms)
+    for name in ("n1", "n2"):
+        one.core.handle(0.0, PeerUp(name))
+    one.core.handle(0.0, FromPeer(Summary("n1", "r0", 10, 1, True, [])))
+    granted = 0
+    for at in range(30):
+        (answer,) = one.hear(join(f"p{at}"))
+        assert isinstance(answer, SendToProxy)
+        granted += isinstance(answer.message, Granted)
+    assert granted == one.core.bound(0.0) == len(one.core.leases) < 30
+    one.core.handle(0.0, FromPeer(Summary("n1", "r0", 0, 2, False, [])))  # the other one has come back empty
+    shed = [a for a in one.wait(200) if isinstance(a, SendToProxy) and isinstance(a.message, TurnedAway)]
+    assert shed and all(a.message.full for a in shed if isinstance(a.message, TurnedAway))
+
+
+def test_an_old_join_that_comes_late_undoes_nothing() -> None:
+    one = OneNode()
+    one.hear(join("p0", epoch=2))
+    assert one.hear(join("p0", epoch=1)) == []
+    one.hear(Leave("p0", 1))
+    assert one.core.leases["p0"].epoch == 2
+
+
+# ---- state ----------------------------------------------------------------------------------------------
+
+
+def test_a_subscriber_is_told_of_its_services_alone_and_of_changes() -> None:
+    one = OneNode()
+    one.hear(join("p0", s0=0, s1=0))
+    one.hear(Join("p1", 8, 1, "r0", "z1", "s9", 100, 0, {"s9": 0}))
+    told = updates(one.wait(1_000), "p0")
+    assert {entry.service for update in told for entry in update.entries} == {"s0"}
+    answer = one.hear(Heartbeat("p0", 1, 1, 100, 400, told[-1].number, []))
+    later = updates(answer + one.wait(600), "p0")
+    assert [entry.pressure for update in later for entry in update.entries] == [400]
+
+
+def test_small_moves_of_pressure_are_not_told() -> None:
+    one = OneNode()
+    one.hear(join("p0"))
+    one.wait(1_000)
+    answer = one.hear(Heartbeat("p0", 1, 1, 100, TERMS.pressure_step - 1, 1, []))
+    assert not any(update.entries for update in updates(answer + one.wait(600), "p0"))
+
+
+def test_an_update_that_was_lost_is_told_again() -> None:
+    one = OneNode()
+    one.hear(join("p0"))
+    first = updates(one.wait(1_000), "p0")
+    assert any(update.entries for update in first)
+    again = updates(one.hear(Heartbeat("p0", 1, 1, 100, 0, first[-1].number, [first[0].number])), "p0")
+    assert any(update.entries for update in again)
+
+
+def test_a_subscriber_that_answers_nothing_holds_a_bounded_queue() -> None:
+    one = OneNode()
+    one.hear(join("p0"))
+    for at in range(200):
+        one.hear(Join("p1", 8, at + 1, "r0", "z1", "s0", 100, at * 5 % 1_000, {"s0": 0}))
+        one.wait(200)
+        one.core.leases["p0"].heard = one.now  # as if it lived, and its heartbeats had no room for a word
+    subscriber = one.core.leases["p0"]
+    assert len(subscriber.unacknowledged) <= TERMS.window and len(subscriber.waiting) <= 3
+
+
+def test_the_same_digest_saves_the_resync() -> None:
+    one = OneNode()
+    one.hear(join("p0"))
+    keys = one.core.shares.keys("s0", "r0")
+    held = digest(one.core.shares.value(key, "r0").entry for key in keys)
+    one.wait(1_000)
+    (granted,) = one.hear(Join("p1", 8, 1, "r0", "z1", "s9", 100, 0, {"s0": held}))
+    assert isinstance(granted, SendToProxy) and granted.message == Granted("n0", 1, ["s0"])
+    assert not any(update.entries for update in updates(one.wait(1_000), "p1"))
+
+
+def test_members_that_two_nodes_hold_count_once_by_the_later_lease() -> None:
+    shares = Shares("n0")
+    key = ("s0", "r0", "z0")
+    shares.set_member(key, MemberState("p0", 1, 100, 700))
+    shares.set_share("n1", StateEntry(*key, 1, 100, 0, [MemberState("p0", 2, 100, 0)]))
+    entry = shares.value(key, "r0").entry
+    assert (entry.up, entry.capacity, entry.pressure) == (1, 100, 0)
+    assert shares.drop_source("n1") == [key]
+    assert shares.value(key, "r0").entry.pressure == 700
+
+
+def test_other_regions_are_told_sums_and_a_missed_summary_is_asked_for() -> None:
+    one = OneNode()
+    for name in ("n1", "n2"):
+        one.core.handle(0.0, PeerUp(name))
+    one.hear(join("p0"))
+    told = [action for action in one.wait(200) if isinstance(action, SendToPeer)]
+    by_peer = {one.to: one.message for one in told if isinstance(one.message, Summary)}
+    assert by_peer["n1"].entries[0].members and by_peer["n1"].entries[0].zone == "z0"
+    assert by_peer["n2"].entries[0] == StateEntry("s0", "r0", "", 1, 100, 0)
+    (asked,) = one.core.handle(one.now, FromPeer(Summary("n2", "r1", 3, 5, False, [])))
+    assert asked == SendToPeer("n2", AskAnew("n0"))
+
+
+def test_a_silent_region_stays_with_its_age_a_silent_neighbour_does_not() -> None:
+    one = OneNode()
+    for name, region in (("n1", "r0"), ("n2", "r1")):
+        one.core.handle(0.0, PeerUp(name))
+        key = ("s0", region, "z5" if region == "r0" else "")
+        members = [MemberState("p9", 1, 100, 0)] if region == "r0" else []
+        entry = StateEntry(*key, 1, 100, 0, members)
+        one.core.handle(0.0, FromPeer(Summary(name, region, 1, 1, True, [entry])))
+    one.wait(TERMS.peer_end + 400)
+    keys = one.core.shares.keys("s0", "r0")
+    assert keys == [("s0", "r1", "")] and one.core.ages["r1"] > TERMS.peer_end
+
+
+# ---- a proxy's side -------------------------------------------------------------------------------------
+
+
+class OneProxy:
+    def __init__(self) -> None:
+        info = ProxyInfo("p0", "r0", "z0", "s0", frozenset({"s0", "s1"}))
+        self.core = ControlClient(info, NODES, TERMS, 1, 0.0)
+        self.now = 0.0
+
+    def due(self) -> list[client.Action]:
+        self.now = self.core.due
+        return self.core.handle(self.now, client.Due())
+
+    def hear(self, message: Granted | TurnedAway | Update) -> list[client.Action]:
+        return self.core.handle(self.now, FromNode(message))
+
+    def attach(self) -> None:
+        self.due()
+        assert self.hear(Granted(self.core.node, self.core.epoch, [])) == [Attached(self.core.node)]
+
+    def update(self, number: int, behind: int = 0, **pressure: int) -> list[client.Action]:
+        entries = [StateEntry(service, "r0", "z0", 1, 100, one) for service, one in pressure.items()]
+        return self.hear(
+            Update(self.core.node, self.core.epoch, self.core.beat, number, behind, {"r0": 0}, entries)
+        )
+
+
+def test_state_is_offered_until_its_end_and_confirmed_by_a_complete_update() -> None:
+    proxy = OneProxy()
+    proxy.attach()
+    proxy.update(1, s0=300)
+    proxy.now += TERMS.entry_end - 1
+    assert [entry.pressure for entry in proxy.core.state("s0", proxy.now)] == [300]
+    proxy.update(2)
+    proxy.now += TERMS.entry_end - 1
+    assert proxy.core.state("s0", proxy.now)
+    proxy.now += 1
+    assert not proxy.core.state("s0", proxy.now)
+
+
+def test_a_gap_is_asked_for_and_confirms_nothing() -> None:
+    proxy = OneProxy()
+    proxy.attach()
+    proxy.update(1, s0=300)
+    as_of = dict(proxy.core.confirmed_as_of)
+    proxy.now += 500
+    proxy.update(3)
+    assert proxy.core.confirmed_as_of == as_of
+    (beat,) = proxy.due()
+    assert isinstance(beat, SendToNode) and isinstance(beat.message, Heartbeat)
+    assert (beat.message.received, beat.message.missing) == (3, [2])
+    (beat,) = proxy.due()  # the first one may have been lost
+    assert (
+        isinstance(beat, SendToNode) and isinstance(beat.message, Heartbeat) and beat.message.missing == [2]
+    )
+    proxy.update(4, s1=200)  # the node has heard it, and told again what was lost
+    assert proxy.core.confirmed_as_of != as_of and not proxy.core.missing
+
+
+def test_what_a_new_node_does_not_tell_is_dropped_with_its_first_complete_update() -> None:
+    proxy = OneProxy()
+    proxy.attach()
+    proxy.update(1, s0=300, s1=100)
+    proxy.now += TERMS.unanswered + 1
+    proxy.core.due = proxy.now
+    proxy.due()
+    proxy.due()  # asks the next node
+    proxy.hear(Granted(proxy.core.node, proxy.core.epoch, ["s1"]))
+    assert len(proxy.core.entries) == 2
+    proxy.update(1)
+    assert {key[0] for key in proxy.core.entries} == {"s1"}
+
+
+def test_without_any_node_it_says_once_that_it_is_alone_and_goes_on_ever_more_slowly() -> None:
+    proxy = OneProxy()
+    actions = [action for _ in range(20) for action in proxy.due()]
+    assert actions.count(Alone()) == 1
+    asked = [action.node for action in actions if isinstance(action, SendToNode)]
+    assert set(asked) == {"n0", "n1", "n2"}
+    assert proxy.core.due - proxy.now >= TERMS.join_retry * 0.5
+
+
+def test_a_former_node_that_still_tells_is_told_to_stop() -> None:
+    proxy = OneProxy()
+    proxy.attach()
+    former, epoch = proxy.core.node, proxy.core.epoch
+    proxy.hear(TurnedAway(former, epoch, True, 0))
+    proxy.due()
+    (told,) = proxy.hear(Update(former, epoch, 0, 9, 0, {}, []))
+    assert told == SendToNode(former, Leave("p0", epoch))
+
+
+def test_away_from_home_it_goes_back_once_its_region_is_heard_of() -> None:
+    proxy = OneProxy()
+    while proxy.core.node != "n2":
+        proxy.due()
+    proxy.hear(Granted("n2", proxy.core.epoch, []))
+    proxy.hear(Update("n2", proxy.core.epoch, 0, 1, 0, {"r1": 0}, []))
+    assert proxy.core.home_due is None
+    proxy.hear(Update("n2", proxy.core.epoch, 0, 2, 0, {"r1": 0, "r0": 100}, []))
+    assert proxy.core.home_due is not None
+    proxy.now = proxy.core.home_due
+    proxy.core.due, proxy.core.heard = proxy.now, proxy.now
+    leave, asked = proxy.due()
+    assert isinstance(leave, SendToNode) and leave.node == "n2"
+    assert isinstance(asked, SendToNode) and asked.node in proxy.core.home
+
+
+# ---- messages and bounds --------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"", b"\x00", b"\x93\x01\x02\x03", b"\xff" * 40,
+        write_control(Join("", 1, 1, "r", "z", "s", 1, 0, {})),
+        write_control(Join("p", 1, 1, "r", "z", "s", 1, 1_001, {})),
+        write_control(Heartbeat("p", 1, 1, -1, 0, 0, [])),
+        write_control(Heartbeat("p", 1, 1, 1, 0, 0, list(range(65)))),
+        write_control(Update("n", 1, 0, 1, 0, {}, [StateEntry("s", "r", "z", -1, 0, 0)])),
+    ],
+)  # fmt: skip
+def test_bad_messages_are_unreadable(body: bytes) -> None:
+    with pytest.raises(Unreadable):
+        read_control(body)
+
+
+def test_messages_come_back_as_they_were() -> None:
+    entry = StateEntry("s", "r", "z", 1, 100, 50, [MemberState("p", 1, 100, 50)])
+    for message in (join("p"), Granted("n", 1, ["s"]), Update("n", 1, 0, 2, 0, {"r": 5}, [entry])):
+        assert read_control(write_control(message)) == message
+
+
+def test_rate_and_burst_bound_any_second() -> None:
+    bucket = TokenBucket(800.0, 700.0, 0.0)
+    spent = [at for at in range(0, 5_000, 10) if bucket.take(float(at), 100.0)]
+    assert max(sum(at < other <= at + 1_000 for other in spent) for at in spent) <= 15
--- /dev/null
+++ b/tests/control/test_simulated.py
@@ -0,0 +1,123 @@
+"""The tier in simulated time, and its checker: an ordinary day breaks nothing, a planted fault is found."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from benchmarks.scale.tier import play_day
+from martentide.control.client import ControlClient
+from martentide.control.messages import StateEntry
+from martentide.control.node import ControlNode
+from martentide.control.terms import ControlTerms
+from martentide_lab.control.invariants import Limits, TierChecker
+from martentide_lab.control.layout import Layout
+from martentide_lab.control.simulated import SimulatedTier
+from martentide_lab.fleet.faults import Link
+
+SMALL = Layout(proxies=60, nodes=4, regions=2, zones=4, services=6, called=3)
+
+
+def test_a_day_of_faults_breaks_no_invariant() -> None:
+    result = play_day(SMALL, 3)
+    assert result["rules_broken"] == 0, result["broken"]
+    assert result["missing_share"] == 0.0
+
+
+def test_five_percent_loss_breaks_no_invariant() -> None:
+    result = play_day(SMALL, 4, loss=0.05)
+    assert result["rules_broken"] == 0, result["broken"]
+
+
+def broken_rules(terms: ControlTerms | None = None, seconds: int = 30, **limits: float) -> set[str]:
+    """The rules that a calm play breaks, with a proxy killed in the midst of it."""
+    tier = SimulatedTier(SMALL, 5, terms, Link(delay=2.0, jitter=2.0))
+    checker = TierChecker(tier, Limits(**limits))  # type: ignore[arg-type]
+    tier.start()
+    proxies = list(tier.proxies.values())
+    for second in range(seconds):
+        tier.run(second * 1_000.0)
+        if second == seconds // 2:
+            tier.kill_proxy(proxies[7])
+        checker.look(proxies)
+    return {one.rule for one in checker.finish()}
+
+
+def test_a_calm_play_breaks_nothing() -> None:
+    assert broken_rules() == set()
+
+
+def forgets_a_member(patch: pytest.MonkeyPatch) -> None:
+    whole = ControlClient._update
+
+    def without(self: ControlClient, update: object, now: float) -> None:
+        whole(self, update, now)  # type: ignore[arg-type]
+        for held in self.entries.values():
+            entry = held.entry
+            kept = [one for one in entry.members if one.name != "p9"]
+            held.entry = StateEntry(
+                entry.service, entry.region, entry.zone, entry.up, entry.capacity, entry.pressure, kept
+            )
+
+    patch.setattr(ControlClient, "_update", without)
+
+
+def never_expires(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ControlNode, "_expire", lambda self, now: None)
+
+
+def never_ages(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(ControlClient, "age", lambda self, key, now: 0.0)
+
+
+@pytest.mark.parametrize(("plant", "rule"), [(forgets_a_member, "held-dead"), (never_expires, "held-alive")])
+def test_a_planted_fault_is_found(
+    monkeypatch: pytest.MonkeyPatch, plant: Callable[[pytest.MonkeyPatch], None], rule: str
+) -> None:
+    plant(monkeypatch)
+    assert rule in broken_rules()
+
+
+def test_state_past_its_end_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    never_ages(monkeypatch)
+    tier = SimulatedTier(SMALL, 5)
+    checker = TierChecker(tier)
+    tier.start()
+    tier.run(10_000.0)
+    for info in tier.infos:
+        tier.kill_node(info.name)
+    tier.run(30_000.0)
+    checker.look(list(tier.proxies.values()))
+    assert {one.rule for one in checker.broken} == {"past-end"}
+
+
+def test_too_many_bytes_are_found() -> None:
+    terms = ControlTerms(update_bytes_s=80_000.0, update_burst=80_000.0, pressure_step=1, heartbeat=20.0)
+    assert "bytes" in broken_rules(terms, seconds=8)
+
+
+def test_a_node_with_too_many_leases_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ControlNode, "_over_bound", lambda self, more, now: False)
+    monkeypatch.setattr(ControlNode, "_shed", lambda self, now: None)
+    monkeypatch.setattr("martentide.control.placement.draw", lambda proxy, node: 0.9 if node == "n0" else 0.1)
+    assert "load" in broken_rules(ControlTerms(least_bound=2))
+
+
+def test_a_proxy_that_stays_away_from_home_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ControlClient, "_look_homeward", lambda self, update, now: None)
+    tier = SimulatedTier(SMALL, 5)
+    checker = TierChecker(tier)
+    home = [info.name for info in tier.infos if info.region == "r0"]
+    for info in tier.infos:
+        if info.name not in home:
+            tier.start_node(info.name)
+    for proxy in tier.proxies.values():
+        tier.start_proxy(proxy)
+    tier.run(15_000.0)
+    for name in home:
+        tier.start_node(name)
+    checker.disturbed()
+    tier.run(40_000.0)
+    checker.look(list(tier.proxies.values()))
+    assert "away" in {one.rule for one in checker.broken}
--- /dev/null
+++ b/tests/test_paced_start.py
@@ -0,0 +1,42 @@
+"""The start beside a process in service: its imports pause as long as they ran, and only there."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import pytest
+
+from martentide.net.config import Address
+from martentide.net.handover import meeting_place
+from martentide.paced_start import SLICE, PacedImports, predecessor_may_serve
+
+
+def test_imports_pause_for_the_processor_time_that_they_used() -> None:
+    clock = [0.0]
+    pauses: list[float] = []
+    pacing = PacedImports(lambda: clock[0], pauses.append)
+    for used in (SLICE / 2, SLICE * 0.9, SLICE * 4, SLICE * 4.1):
+        clock[0] = used
+        assert pacing.find_spec("anything") is None
+    assert pauses == [pytest.approx(SLICE * 4)]
+
+
+def test_it_begins_and_ends() -> None:
+    pacing = PacedImports()
+    pacing.begin()
+    assert sys.meta_path[0] is pacing
+    pacing.end()
+    pacing.end()
+    assert pacing not in sys.meta_path
+
+
+def test_a_handover_socket_is_what_tells_of_a_predecessor(tmp_path: Path) -> None:
+    assert not predecessor_may_serve({})
+    assert not predecessor_may_serve({"TMPDIR": str(tmp_path / "none")})
+    environment = {"TMPDIR": str(tmp_path)}
+    assert not predecessor_may_serve(environment)
+    place = meeting_place(environment, Address("127.0.0.1", 5080))
+    assert place is not None
+    Path(place).touch()
+    assert predecessor_may_serve(environment)
