--- a/benchmarks/scale/tier.py
+++ b/benchmarks/scale/tier.py
@@ -17,6 +17,7 @@
 
 BASE = Link(delay=5.0, jitter=5.0)
 LOOK_EVERY = 1_000.0  # ms between two looks of the checker and the samples
+DETECT_EVERY = 200.0  # ms between two looks whether a death is known
 SAMPLE = 150  # proxies that are looked at
 KILLED, RESTARTED = 8 / 4_700, 340 / 4_700  # of the proxies, on an ordinary day
 
@@ -46,9 +47,11 @@
     def run(self, seconds: float) -> None:
         until = self.tier.now + seconds * 1_000.0
         while self.tier.now < until:
-            self.tier.run(min(until, self.tier.now + LOOK_EVERY))
+            look = min(until, self.tier.now + LOOK_EVERY)
+            while self.tier.now < look:
+                self.tier.run(min(look, self.tier.now + DETECT_EVERY))
+                self._detect()
             self.checker.look(self.sample)
-            self._detect()
             if self.calm:
                 self._sample()
 
--- a/martentide/control/client.py
+++ b/martentide/control/client.py
@@ -94,6 +94,15 @@
     grant: int  # the epoch under which it came or was found to be the same
 
 
+@dataclass(slots=True)
+class MissingUpdate:
+    """An update that did not come. ``beat``: the first that told of it, 0 for none yet; ``as_of``: what was
+    known by the one before it, by region."""
+
+    beat: int
+    as_of: dict[str, float]
+
+
 class ControlClient:
     """``life`` is drawn anew by each process; ``now`` is ms of a clock that never runs backwards."""
 
@@ -117,7 +126,8 @@
         self.confirmed_as_of: dict[str, float] = {}
         self.received = 0
         self.beat = 0
-        self.missing: dict[int, int] = {}  # numbers of updates, and the beat that first told of each; 0: none
+        self.missing: dict[int, MissingUpdate] = {}  # by number
+        self.heard_as_of: dict[str, float] = {}  # by region, by the last update alone
         self.swept = True  # what an earlier node told and this one does not is gone
         self.due = now + self.random.uniform(0.0, terms.join_retry)
         self.actions: list[Action] = []
@@ -213,7 +223,7 @@
         self.beat += 1
         missing = sorted(self.missing)[:MOST_MISSING]
         for number in missing:
-            self.missing[number] = self.missing[number] or self.beat
+            self.missing[number].beat = self.missing[number].beat or self.beat
         own = self.own
         beat = Heartbeat(
             self.info.name, self.epoch, self.beat, own.capacity, own.pressure, self.received, missing
@@ -252,6 +262,7 @@
                 held.grant = self.epoch
         self.attached, self.alone, self.tried = True, False, 0
         self.heard, self.received, self.swept = now, 0, False
+        self.heard_as_of = {}
         self.missing.clear()
         self.actions.append(Attached(self.node))
         self.due = now + self.terms.heartbeat * self.random.uniform(0.0, 1.0)
@@ -284,18 +295,19 @@
                 self.entries.pop(entry.key, None)
             else:
                 self.entries[entry.key] = HeldEntry(entry, as_of, self.epoch)
-        if not self.missing:
-            self._confirm(update, now)
+        self._confirm(update, now)
         self._look_homeward(update, now)
 
     def _count(self, update: Update) -> None:
         """Which updates are missing: the node tells what they held again, under a new number, once it has
         heard the beat that says so."""
         if update.number > self.received:
-            self.missing.update(dict.fromkeys(range(self.received + 1, update.number), 0))
+            for number in range(max(self.received + 1, update.number - MOST_MISSING), update.number):
+                self.missing[number] = MissingUpdate(0, self.heard_as_of)
             self.received = update.number
         self.missing.pop(update.number, None)
-        for number in [number for number, beat in self.missing.items() if 0 < beat <= update.beat]:
+        told_again = [number for number, one in self.missing.items() if 0 < one.beat <= update.beat]
+        for number in told_again:
             del self.missing[number]
 
     def _look_homeward(self, update: Update, now: float) -> None:
@@ -308,8 +320,10 @@
 
     def _confirm(self, update: Update, now: float) -> None:
         """What came under this lease is as old as the node says; once nothing waits, it is all there is."""
-        if not self.swept and not update.behind:
+        if not self.swept and not update.behind and not self.missing:
             self.swept = True
             self.entries = {key: held for key, held in self.entries.items() if held.grant == self.epoch}
-        for region, age in update.ages.items():
-            self.confirmed_as_of[region] = now - age - update.behind
+        self.heard_as_of = {region: now - age - update.behind for region, age in update.ages.items()}
+        for region, as_of in self.heard_as_of.items():
+            before = [one.as_of.get(region, 0.0) for one in self.missing.values()]
+            self.confirmed_as_of[region] = min([as_of, *before])
--- a/martentide/control/node.py
+++ b/martentide/control/node.py
@@ -306,8 +306,8 @@
             peer.asked = False
         peer.heard, peer.number, peer.leases = now, summary.number, summary.leases
         for entry in summary.entries:
-            self.shares.set_share(peer.info.name, entry)
-            self._changed(entry.key, urgent=False)
+            moved = self.shares.set_share(peer.info.name, entry)
+            self._changed(entry.key, urgent=moved)
 
     def _tell_peer(self, peer: Peer, now: float) -> None:
         if not peer.up:
--- a/martentide/control/shares.py
+++ b/martentide/control/shares.py
@@ -69,22 +69,27 @@
             self._tidy(key, self.own)
             self._outdated(key)
 
-    def set_share(self, source: str, entry: StateEntry) -> None:
-        """Another node's entry takes the place of its earlier one."""
+    def set_share(self, source: str, entry: StateEntry) -> bool:
+        """Another node's entry takes the place of its earlier one; whether somebody came or went by it."""
         if entry.zone:
-            self._source(entry.key, source).clear()
-            self._source(entry.key, source).update({member.name: member for member in entry.members})
+            known = self._source(entry.key, source)
+            names = set(known)
+            known.clear()
+            known.update({member.name: member for member in entry.members})
+            moved = names != known.keys()
             self._tidy(entry.key, source)
             self._outdated(entry.key)
-            return
+            return moved
         key = (entry.service, entry.region)
         self._outdated(entry.key)
+        former = self.sums.get(key, {}).get(source)
         if entry.up:
             self.regions.setdefault(entry.service, set()).add(entry.region)
             self.sums.setdefault(key, {})[source] = entry
         else:
             self.sums.get(key, {}).pop(source, None)
             self._tidy_region(*key)
+        return entry.up != (former.up if former is not None else 0)
 
     def drop_source(self, source: str) -> list[DetailKey]:
         """Nothing of that node counts any more; what has changed by it."""
--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -17,7 +17,7 @@
 from martentide.handover.wire import MOST_RECORDS, Left, MovedCalls, MovedLink, Said
 from martentide.net.call_trace import CALL_TRACE, CallStep
 from martentide.net.config import Address
-from martentide.net.decider import GiveUp, Offer, ReleaseIn
+from martentide.net.decider import GiveUp, Offer, ReleaseIn, time_for_answer
 from martentide.net.endings import LOG, Reason, log_event
 from martentide.net.links import Link, LinkEnded, Received
 from martentide.net.listeners import bound
@@ -289,6 +289,11 @@
             log_event("bad-set-up", party=self.host, call=message.call.hex(), detail=repr(str(error)))
             link.write(write_release(message.call, Cause.INVALID_CONTENTS))
             return
+        if time_for_answer(offer.time_left) <= 0.0:
+            # At once: on its way through the mailboxes its time would be over.
+            CALL_TRACE.step(message.call, CallStep.WRITTEN, stands=False, peer=link.peer)
+            link.write(write_release(message.call, Cause.CONGESTION))
+            return
         if self.door.open.get(link, 0) >= FIRST_WINDOW + self.links[link]:
             # Guards against hundreds of set-ups at once from one that has brought none that stood: a caller's
             # window grows with what it has set up.
