--- a/benchmarks/scale/membership.py
+++ b/benchmarks/scale/membership.py
@@ -13,7 +13,8 @@
 import tracemalloc
 
 from benchmarks.scale.results import Row
-from martentide.fleet.core import Core, Due, Heard, Send
+from martentide.fleet.core import Core
+from martentide.fleet.events import Due, Heard, Send
 from martentide.fleet.terms import Terms
 from martentide.fleet.wire import Datagram, Frame, Kind, MemberWord, State
 
--- a/martentide/fleet/core.py
+++ b/martentide/fleet/core.py
@@ -8,15 +8,31 @@
 
 from __future__ import annotations
 
-import functools
 import random
 import zlib
 from collections import Counter, OrderedDict
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass, field
 
 import msgspec
 
+from martentide.fleet.events import (
+    Action,
+    Address,
+    Carried,
+    Carry,
+    Changed,
+    Depart,
+    Displaced,
+    Due,
+    Event,
+    Heard,
+    Late,
+    Learned,
+    Publish,
+    Send,
+    TableFull,
+)
+from martentide.fleet.table import BUCKETS, Facet, Member, Probe, Relay, bucket
 from martentide.fleet.terms import DATAGRAM, Terms
 from martentide.fleet.wire import (
     CHECK,
@@ -31,7 +47,6 @@
     size,
 )
 
-BUCKETS = 32  # of the sums that two members compare
 QUICK_SYNC = 150.0  # ms to the next comparison after one that brought something
 NEWCOMERS_GAP = 250.0  # ms between two tries at seeds of a member that has found nobody yet
 MOST_RELAYS = 256  # probes on behalf of others that are under way
@@ -43,172 +58,6 @@
 FAREWELLS = 12  # members that are told of a departure at once
 FRAME = HEAD + CHECK + 60  # bytes beside the sender's word and the entries: frame, figures, list heads
 OVERHEAD = FRAME + 28 + 60  # of a datagram that only carries news: headers of IP and UDP, the own word
-STATES = tuple(State)
-Address = tuple[str, int]
-
-# ---- events ---------------------------------------------------------------------------------------------
-
-
-@dataclass(frozen=True, slots=True)
-class Heard:
-    """A datagram that passed ``Frame.read``."""
-
-    said: Datagram
-
-
-@dataclass(frozen=True, slots=True)
-class Due:
-    """The time ``due`` has come."""
-
-
-@dataclass(frozen=True, slots=True)
-class Publish:
-    """An own facet from now on, until ``end`` ms of age; an empty body takes it back."""
-
-    kind: int
-    schema: int
-    end: int
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Depart:
-    """The process ends: the others are told."""
-
-
-@dataclass(frozen=True, slots=True)
-class Carry:
-    """A word of another part for one member, whatever its state; lost where it is not known."""
-
-    to: Name
-    body: bytes
-
-
-Event = Heard | Due | Publish | Depart | Carry
-
-# ---- actions --------------------------------------------------------------------------------------------
-
-
-@dataclass(frozen=True, slots=True)
-class Send:
-    address: Address
-    datagram: Datagram
-
-
-@dataclass(frozen=True, slots=True)
-class Changed:
-    """What this member holds of another is another state now; ``old`` is None for one that is new.
-    ``evidence`` says in words why, ``by`` who brought it."""
-
-    word: MemberWord
-    old: State | None
-    by: Name
-    evidence: str
-
-
-@dataclass(frozen=True, slots=True)
-class Learned:
-    """A newer facet of another member."""
-
-    word: FacetWord
-
-
-@dataclass(frozen=True, slots=True)
-class Displaced:
-    """Another process bears this name by a newer right: this one is silent in the fleet from now on."""
-
-    by: MemberWord
-
-
-@dataclass(frozen=True, slots=True)
-class Late:
-    """This process did not run for ``span`` ms: it doubts itself and accuses nobody for what came of that."""
-
-    span: float
-
-
-@dataclass(frozen=True, slots=True)
-class Carried:
-    """A word for another part of this process."""
-
-    sender: MemberWord
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class TableFull:
-    """Members beyond ``most`` are not taken up (``Terms.most_members``); said again after FULL_GAP."""
-
-    most: int
-
-
-Action = Send | Changed | Learned | Displaced | Late | Carried | TableFull
-
-
-@dataclass(slots=True)
-class Facet:
-    word: FacetWord
-    at: float  # when it had the age in the word
-
-    def age(self, now: float) -> float:
-        return self.word.age + (now - self.at)
-
-    def counts(self, now: float) -> bool:
-        return bool(self.word.body) and self.age(now) < self.word.end
-
-
-@dataclass(slots=True)
-class Member:
-    """Another member as this one knows it. Times with ``own`` are of the clock that stands still while this
-    process does."""
-
-    word: MemberWord
-    since: float
-    heard: float  # own clock of its last datagram or of the news of it
-    accusers: set[Name] = field(default_factory=set)
-    suspect_own: float = 0.0
-    stamp: int = -1
-    stamp_at: float = 0.0
-    stamp_life: int = 0
-    facets: dict[int, Facet] = field(default_factory=dict)
-    counted: int = 0  # what of it is in the sums
-
-    @property
-    def state(self) -> State:
-        return STATES[self.word.state]
-
-    @property
-    def up(self) -> bool:
-        """Not known to be dead or gone."""
-        return self.word.state < State.DEAD
-
-    @property
-    def address(self) -> Address:
-        return (self.word.host, self.word.port)
-
-
-@dataclass(slots=True)
-class Probe:
-    name: Name
-    life: int
-    number: int
-    helpers_due: float | None  # own clock
-    end: float
-    helpers: int = 0
-    nacks: int = 0
-
-
-@dataclass(slots=True)
-class Relay:
-    asker: Name
-    probe: int
-    target: Name
-    end: float
-
-
-@functools.lru_cache(4096)
-def bucket(name: Name) -> int:
-    return zlib.crc32(name.encode()) % BUCKETS
 
 
 class Core:
--- /dev/null
+++ b/martentide/fleet/table.py
@@ -0,0 +1,79 @@
+"""What a member holds of the others: entries of its table, and the probes that are under way."""
+
+from __future__ import annotations
+
+import functools
+import zlib
+from dataclasses import dataclass, field
+
+from martentide.fleet.events import Address
+from martentide.fleet.wire import FacetWord, MemberWord, Name, State
+
+BUCKETS = 32  # of the sums that two members compare
+STATES = tuple(State)
+
+
+@dataclass(slots=True)
+class Facet:
+    word: FacetWord
+    at: float  # when it had the age in the word
+
+    def age(self, now: float) -> float:
+        return self.word.age + (now - self.at)
+
+    def counts(self, now: float) -> bool:
+        return bool(self.word.body) and self.age(now) < self.word.end
+
+
+@dataclass(slots=True)
+class Member:
+    """Another member as this one knows it. Times with ``own`` are of the clock that stands still while this
+    process does."""
+
+    word: MemberWord
+    since: float
+    heard: float  # own clock of its last datagram or of the news of it
+    accusers: set[Name] = field(default_factory=set)
+    suspect_own: float = 0.0
+    stamp: int = -1
+    stamp_at: float = 0.0
+    stamp_life: int = 0
+    facets: dict[int, Facet] = field(default_factory=dict)
+    counted: int = 0  # what of it is in the sums
+
+    @property
+    def state(self) -> State:
+        return STATES[self.word.state]
+
+    @property
+    def up(self) -> bool:
+        """Not known to be dead or gone."""
+        return self.word.state < State.DEAD
+
+    @property
+    def address(self) -> Address:
+        return (self.word.host, self.word.port)
+
+
+@dataclass(slots=True)
+class Probe:
+    name: Name
+    life: int
+    number: int
+    helpers_due: float | None  # own clock
+    end: float
+    helpers: int = 0
+    nacks: int = 0
+
+
+@dataclass(slots=True)
+class Relay:
+    asker: Name
+    probe: int
+    target: Name
+    end: float
+
+
+@functools.lru_cache(4096)
+def bucket(name: Name) -> int:
+    return zlib.crc32(name.encode()) % BUCKETS
--- a/martentide/net/fleet/agreed.py
+++ b/martentide/net/fleet/agreed.py
@@ -55,7 +55,8 @@
     write_told,
 )
 from martentide.codec.board import Listed, Notice
-from martentide.fleet.core import Core, Publish
+from martentide.fleet.core import Core
+from martentide.fleet.events import Publish
 from martentide.interface import (
     AttemptEnded,
     Ending,
--- a/martentide/net/fleet/member.py
+++ b/martentide/net/fleet/member.py
@@ -14,13 +14,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from martentide.fleet.core import (
+from martentide.fleet.core import Core
+from martentide.fleet.duty import SCHEMA, Duty, look
+from martentide.fleet.events import (
     Action,
     Address,
     Carried,
     Carry,
     Changed,
-    Core,
     Depart,
     Displaced,
     Due,
@@ -31,10 +32,7 @@
     Send,
     TableFull,
 )
-from martentide.fleet.core import (
-    Event as CoreEvent,
-)
-from martentide.fleet.duty import SCHEMA, Duty, look
+from martentide.fleet.events import Event as CoreEvent
 from martentide.fleet.wire import Frame, State, Unreadable
 from martentide.interface import AttemptEnded, Event, ProbeEnded, RepeatBudget, Settings, Stands
 from martentide.net.decider import Decider, Probing
--- a/martentide_lab/control/simulated.py
+++ b/martentide_lab/control/simulated.py
@@ -33,7 +33,7 @@
     SendToProxy,
 )
 from martentide.control.terms import HEADERS, ControlTerms
-from martentide.fleet.core import Action, Carried, Carry, Changed
+from martentide.fleet.events import Action, Carried, Carry, Changed
 from martentide.fleet.wire import CHECK, HEAD, State
 from martentide_lab.control.layout import Layout
 from martentide_lab.fleet.faults import Link
--- a/martentide_lab/fleet/ghost.py
+++ b/martentide_lab/fleet/ghost.py
@@ -6,7 +6,8 @@
 import asyncio
 from collections.abc import Callable
 
-from martentide.fleet.core import Core, Due, Event, Heard, Publish, Send
+from martentide.fleet.core import Core
+from martentide.fleet.events import Due, Event, Heard, Publish, Send
 from martentide.fleet.terms import Terms
 from martentide.fleet.wire import Datagram, Frame, Unreadable
 from martentide_lab.fleet.hub import Hub
--- a/martentide_lab/fleet/simulated.py
+++ b/martentide_lab/fleet/simulated.py
@@ -10,10 +10,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from martentide.fleet.core import (
+from martentide.fleet.core import Core
+from martentide.fleet.events import (
     Action,
     Changed,
-    Core,
     Depart,
     Displaced,
     Due,
@@ -23,7 +23,7 @@
     Publish,
     Send,
 )
-from martentide.fleet.core import Event as CoreEvent
+from martentide.fleet.events import Event as CoreEvent
 from martentide.fleet.terms import Terms
 from martentide.fleet.wire import Datagram, Frame, Kind, Unreadable
 from martentide_lab.fleet.faults import Link, Network, damaged
--- a/tests/fleet/test_core.py
+++ b/tests/fleet/test_core.py
@@ -9,7 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from martentide.fleet.core import Changed, Core, Due, Heard, Learned, Publish, Send
+from martentide.fleet.core import Core
+from martentide.fleet.events import Changed, Due, Heard, Learned, Publish, Send
 from martentide.fleet.terms import Terms
 from martentide.fleet.wire import Datagram, FacetWord, Kind, MemberWord, State
 from martentide_lab.fleet.invariants import Checker
--- a/tests/net/test_upgrade_crossings.py
+++ b/tests/net/test_upgrade_crossings.py
@@ -16,8 +16,9 @@
 
 from martentide.codec.messages import Cause, Code, Message, Type, split, write_message, write_release
 from martentide.handover.wire import MovedLink
-from martentide.net.callers import Callers, Door
+from martentide.net.callers import Callers
 from martentide.net.decider import ANSWER_AHEAD
+from martentide.net.door import Door
 from martentide.net.endings import Reason
 from martentide.net.links import Link
 from tests.net.support import LIMIT, Program, Wire
