--- a/martentide/__main__.py
+++ b/martentide/__main__.py
@@ -9,11 +9,12 @@
 # small machine has better use for 4 MB. (gRPC, where the operator turns it on, brings its own.)
 sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
 
-pacing = PacedImports()
-if predecessor_may_serve(os.environ):
+pacing = PacedImports() if predecessor_may_serve(os.environ) else None
+if pacing is not None:
     pacing.begin()
 
 from martentide.cli import main  # noqa: E402
 
-pacing.end()
+if pacing is not None:
+    pacing.end()
 main()
