--- a/martentide/control/node.py
+++ b/martentide/control/node.py
@@ -307,7 +307,7 @@
         peer.heard, peer.number, peer.leases = now, summary.number, summary.leases
         for entry in summary.entries:
             moved = self.shares.set_share(peer.info.name, entry)
-            self._changed(entry.key, urgent=moved)
+            self._changed(entry.key, urgent=moved and not summary.anew)
 
     def _tell_peer(self, peer: Peer, now: float) -> None:
         if not peer.up:
--- a/martentide/control/subscriber.py
+++ b/martentide/control/subscriber.py
@@ -34,6 +34,7 @@
         self.address, self.terms = address, terms
         self.heard = now
         self.waiting: OrderedDict[DetailKey, float] = OrderedDict()  # and since when
+        self.told: dict[DetailKey, StateEntry] = {}  # what it holds, as far as nothing is known to be lost
         self.unacknowledged: OrderedDict[int, tuple[float, tuple[DetailKey, ...]]] = OrderedDict()
         self.number = 0
         self.beat = 0
@@ -81,8 +82,15 @@
             del self.unacknowledged[number]
             if not come:
                 lost += keys
+        for key in lost:
+            self.told.pop(key, None)
         self.mark(lost, now)
 
+    def _next(self, now: float) -> DetailKey:
+        """The first in the queue, but for one that has waited long: who comes and goes may not starve it."""
+        oldest = min(self.waiting, key=self.waiting.__getitem__)
+        return oldest if now - self.waiting[oldest] > self.terms.longest_wait else next(iter(self.waiting))
+
     def update(
         self, node: str, ages: dict[str, int], value: Value, now: float, answer: bool
     ) -> Update | None:
@@ -95,13 +103,17 @@
         entries: list[StateEntry] = []
         keys: list[DetailKey] = []
         while self.waiting and len(self.unacknowledged) < self.terms.window:
-            key = next(iter(self.waiting))
+            key = self._next(now)
             sized = value(key)
+            if self.told.get(key) == sized.entry:  # it changed back, or all of a node's was told anew
+                del self.waiting[key]
+                continue
             if sized.size > room:
                 break
             room -= sized.size
             base += sized.size
             del self.waiting[key]
+            self.told[key] = sized.entry
             entries.append(sized.entry)
             keys.append(key)
         if not entries and not answer:
