Control tier on sockets: martentide control, the proxy's lease, extras, real-process tests

Three nodes and three proxies on loopback (tests/control/test_processes.py): leases, members of subscribed services, a node killed, a planned end forgotten at once, all nodes lost and one back, 2,000 datagrams of garbage. Off unless the extras file names it, refused where limits.peers is false. most-members may be set up to 8,192.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -12,7 +12,7 @@
 import click
 
 from benchmarks.fleet_rules import simulated
-from benchmarks.scale import latency, membership, page, state, tier
+from benchmarks.scale import latency, membership, page, processes, state, tier
 from benchmarks.scale.fits import fit
 from benchmarks.scale.results import Row, draw, save
 from martentide_lab.control.layout import Layout
@@ -125,6 +125,17 @@
         draw("tier", rows, "proxies", ["bytes_per_s_proxy", "bytes_per_s_proxy_p99"])
 
 
+@main.command("processes")
+@click.option("--proxies", default=24, show_default=True)
+@click.option("--nodes", default=3, show_default=True)
+def processes_command(proxies: int, nodes: int) -> None:
+    """The control tier as real processes, with losses of nodes."""
+    rows = [asyncio.run(processes.measure(proxies, nodes))]
+    show(rows)
+    click.echo("RESULT " + json.dumps(rows[0]))
+    save("processes", rows)
+
+
 @main.command("page")
 def page_command() -> None:
     """Write the tables of the capacity page from the results."""
--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -70,6 +70,7 @@
     "latency": lambda: turned("latency"),
     "tier": lambda: turned("tier"),
     "tier-loss": lambda: turned("tier_loss"),
+    "processes": lambda: turned("processes"),
     "tier-slopes": lambda: slopes(
         "tier", "proxies", ("bytes_per_s_proxy", "bytes_per_s_proxy_p99", "state_age_p99_s")
     ),
--- a/martentide/cli.py
+++ b/martentide/cli.py
@@ -73,6 +73,39 @@
         sys.exit(CANNOT_LISTEN)
 
 
+@top.command("control", help="Run a control node of a large fleet, as the extras file says.")
+@click.option("--extras", metavar="FILE", required=True, help="the file with a node control-node (KDL)")
+@click.option("--log-level", type=click.Choice(list(log.LEVELS)), default="info", show_default=True)
+@click.option("--log-format", type=click.Choice(log.FORMATS), default="text", show_default=True)
+def control_command(extras: str, log_level: str, log_format: str) -> None:
+    from martentide.extras import ControlNodePart, ExtrasError, load_extras
+
+    try:
+        part = load_extras(extras, None).control_node
+    except ExtrasError as error:
+        click.echo(f"martentide: {error}", err=True)
+        sys.exit(BAD_CONFIG)
+    if part is None:
+        click.echo(f"martentide: {extras}: expected a node control-node, found none", err=True)
+        sys.exit(BAD_CONFIG)
+    log.configure(log_level, log_format)
+
+    async def run(part: ControlNodePart) -> None:
+        from martentide.net.tier.node import ControlHost
+
+        host = ControlHost(part)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, host.stop)
+        await host.run()
+
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    try:
+        asyncio.run(run(part))
+    except OSError as error:
+        click.echo(f"martentide: {part.name}: {error.strerror or error}", err=True)
+        sys.exit(CANNOT_LISTEN)
+
+
 @top.group("state", help="Look at files of learned state.")
 def state() -> None:
     pass
--- a/martentide/control/client.py
+++ b/martentide/control/client.py
@@ -104,10 +104,17 @@
 
 
 class ControlClient:
-    """``life`` is drawn anew by each process; ``now`` is ms of a clock that never runs backwards."""
+    """``life`` is drawn anew by each process; ``now`` is ms of a clock that never runs backwards. ``epoch``:
+    of its first lease, above those of earlier processes of that name."""
 
     def __init__(
-        self, info: ProxyInfo, nodes: Iterable[NodeInfo], terms: ControlTerms, seed: int, now: float
+        self,
+        info: ProxyInfo,
+        nodes: Iterable[NodeInfo],
+        terms: ControlTerms,
+        seed: int,
+        now: float,
+        epoch: int = 1,
     ) -> None:
         self.info, self.terms = info, terms
         self.random = random.Random(seed)
@@ -118,7 +125,7 @@
         self.home_due: float | None = None  # when to go back to a node of the own region
         self.at = 0  # place in the order of the node that is asked or held
         self.tried = 0  # nodes in a row that gave no lease
-        self.epoch = 1
+        self.epoch = epoch
         self.attached = self.alone = self.departed = False
         self.heard = now
         self.own = OwnState(0, 0)
--- a/martentide/extras.py
+++ b/martentide/extras.py
@@ -15,6 +15,7 @@
 import ckdl
 import msgspec
 
+from martentide.control.placement import NodeInfo
 from martentide.extproc.ledger import Terms
 from martentide.extproc.limits import Limits
 from martentide.extproc.sessions import SessionTerms
@@ -23,6 +24,7 @@
 from martentide.learned.pacing import Pace
 
 MOST_FILE = 1024 * 1024  # bytes
+MOST_CALLS = 63  # services of a proxy beside its own
 
 Count = Annotated[int, msgspec.Meta(ge=1, le=10_000_000)]
 Millis = Annotated[float, msgspec.Meta(ge=0, le=600_000)]
@@ -158,7 +160,7 @@
 
 class LimitsOfFleet(Node, frozen=True):
     bytes_s: Annotated[float, msgspec.Meta(ge=1_000, le=10_000_000)] = 5_000.0
-    most_members: Annotated[int, msgspec.Meta(ge=2, le=2_048)] = 2_048
+    most_members: Annotated[int, msgspec.Meta(ge=2, le=8_192)] = 2_048
 
 
 class AgreementPart(msgspec.Struct, frozen=True):
@@ -198,6 +200,49 @@
         )
 
 
+class ControlAddress(msgspec.Struct, frozen=True):
+    """A control node as others are configured with it; ``gossip``: where other nodes reach it."""
+
+    name: str
+    region: str
+    address: tuple[str, int]
+    gossip: tuple[str, int] = ("", 0)
+
+    def info(self) -> NodeInfo:
+        return NodeInfo(self.name, self.region)
+
+
+class ControlTierPart(msgspec.Struct, frozen=True):
+    """A proxy that takes a lease of a control node. ``server``: its own session server, by name."""
+
+    fleet: str
+    region: str
+    zone: str
+    service: str
+    nodes: tuple[ControlAddress, ...]
+    calls: tuple[str, ...] = ()
+    server: str = ""
+    secret: str = ""
+
+    def infos(self) -> tuple[NodeInfo, ...]:
+        return tuple(one.info() for one in self.nodes)
+
+
+class ControlNodePart(msgspec.Struct, frozen=True):
+    """What ``martentide control`` runs: the node ``name`` of ``nodes``."""
+
+    fleet: str
+    name: str
+    nodes: tuple[ControlAddress, ...]
+    secret: str = ""
+
+    def infos(self) -> tuple[NodeInfo, ...]:
+        return tuple(one.info() for one in self.nodes)
+
+    def own(self) -> ControlAddress:
+        return next(one for one in self.nodes if one.name == self.name)
+
+
 class Extras(msgspec.Struct, frozen=True):
     """The whole file; what is None is off."""
 
@@ -205,6 +250,8 @@
     external_processor: ExternalProcessor | None = None
     learned_state: LearnedState | None = None
     fleet: Fleet | None = None
+    control_tier: ControlTierPart | None = None
+    control_node: ControlNodePart | None = None
 
     @property
     def dials(self) -> bool:
@@ -219,6 +266,10 @@
             on.append(f"learned state in {state.folder}")
         if (fleet := self.fleet) is not None:
             on.append(f"member of the fleet {fleet.name} at {fleet.listen[0]}:{fleet.listen[1]}")
+        if (tier := self.control_tier) is not None:
+            on.append(f"lease of {len(tier.nodes)} control nodes for {tier.service} in {tier.zone}")
+        if (control := self.control_node) is not None:
+            on.append(f"control node {control.name} of {len(control.nodes)}")
         return f"{self.path}: {'; '.join(on) or 'nothing is turned on'}"
 
 
@@ -234,8 +285,8 @@
 AnyNode = TypeVar("AnyNode", bound=Node)
 
 
-def load_extras(path: str, settings: Settings) -> Extras:
-    """Read and check the file; raises ExtrasError."""
+def load_extras(path: str, settings: Settings | None) -> Extras:
+    """Read and check the file; raises ExtrasError. ``settings``: None for a program without any."""
     try:
         with Path(path).open("rb") as file:
             raw = file.read(MOST_FILE + 1)
@@ -250,7 +301,7 @@
     return read_extras(text, path, settings)
 
 
-def read_extras(text: str, path: str, settings: Settings) -> Extras:
+def read_extras(text: str, path: str, settings: Settings | None) -> Extras:
     try:
         document = ckdl.parse(text)
     except ckdl.ParseError as error:
@@ -265,9 +316,12 @@
         if node.args or node.properties:
             raise ExtrasError(f"{where}: takes no values of its own, its figures stand in nodes inside")
         found[node.name] = TOP[node.name](node, path)
-    if "fleet" in found and not settings.may_tell_peers:
-        raise ExtrasError(f"{path}: fleet: the settings forbid talk between proxies (limits.peers is false)")
-    return Extras(path, found.get("external-processor"), found.get("learned-state"), found.get("fleet"))
+    for name in ("fleet", "control-tier"):
+        if name in found and settings is not None and not settings.may_tell_peers:
+            raise ExtrasError(
+                f"{path}: {name}: the settings forbid talk between proxies (limits.peers is false)"
+            )
+    return Extras(path, **{name.replace("-", "_"): part for name, part in found.items()})
 
 
 def _bad_line(text: str) -> int:
@@ -405,10 +459,70 @@
     return AgreementPart(**values)
 
 
+def _control_tier(node: ckdl.Node, path: str) -> ControlTierPart:
+    """``region``, ``zone``, ``service`` and ``calls`` say who asks for what; ``nodes`` whom it asks."""
+    where = f"{path}: {node.name}"
+    texts = {"fleet": 64, "secret": 256, "region": 32, "zone": 32, "service": 32, "server": 64}
+    values = _control_values(node, where, texts, gossip=False)
+    _expect(values, ("fleet", "region", "zone", "service", "nodes"), where)
+    return ControlTierPart(**values)
+
+
+def _control_node(node: ckdl.Node, path: str) -> ControlNodePart:
+    where = f"{path}: {node.name}"
+    values = _control_values(node, where, {"fleet": 64, "secret": 256, "name": 64}, gossip=True)
+    _expect(values, ("fleet", "name", "nodes"), where)
+    part = ControlNodePart(**values)
+    if part.name not in (one.name for one in part.nodes):
+        raise ExtrasError(f"{where}/name: expected one of the nodes, found {part.name!r}")
+    return part
+
+
+def _control_values(node: ckdl.Node, where: str, texts: dict[str, int], gossip: bool) -> dict[str, Any]:
+    values: dict[str, Any] = {}
+    for child, here in _children(node, where):
+        if child.name in texts:
+            values[child.name] = text = _one(child, str, "a text", here)
+            if not 1 <= len(text.encode()) <= texts[child.name]:
+                raise ExtrasError(f"{here}: expected 1 to {texts[child.name]} bytes, found {text!r}")
+        elif child.name == "calls" and not gossip:
+            if child.properties or child.children or not all(type(one) is str for one in child.args):
+                raise ExtrasError(f"{here}: expected names of services, found {list(child.args)!r}")
+            if len(child.args) > MOST_CALLS:
+                raise ExtrasError(f"{here}: expected {MOST_CALLS} services at most, found {len(child.args)}")
+            values["calls"] = tuple(child.args)
+        elif child.name == "nodes":
+            values["nodes"] = tuple(
+                _control_address(one, path, gossip) for one, path in _children(child, here)
+            )
+        else:
+            raise ExtrasError(f"{here}: unknown node{_nearest(child.name, [*texts, 'calls', 'nodes'])}")
+    return values
+
+
+def _control_address(node: ckdl.Node, where: str, gossip: bool) -> ControlAddress:
+    wanted = ("region", "address", "gossip") if gossip else ("region", "address")
+    if node.args or node.children or not set(wanted) <= set(node.properties) <= {*wanted, "gossip"}:
+        raise ExtrasError(f"{where}: expected the properties {', '.join(wanted)}")
+    values = {
+        name: str(value) if name == "region" else _dotted(value, f"{where}: {name}")
+        for name, value in node.properties.items()
+    }
+    return ControlAddress(node.name, **values)  # type: ignore[arg-type]
+
+
+def _expect(values: dict[str, Any], names: tuple[str, ...], where: str) -> None:
+    for name in names:
+        if not values.get(name):
+            raise ExtrasError(f"{where}: expected a node {name}, found none")
+
+
 TOP: dict[str, Callable[[ckdl.Node, str], Any]] = {
     "external-processor": _external_processor,
     "learned-state": _learned_state,
     "fleet": _fleet,
+    "control-tier": _control_tier,
+    "control-node": _control_node,
 }
 
 
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -44,6 +44,7 @@
     from martentide.net.extproc.server import ExternalProcessorServer
     from martentide.net.fleet.member import Member
     from martentide.net.learned import Store
+    from martentide.net.tier.proxy import TierMember
 
 BESIDE = 0.5  # of what a cold server may be sent is each process's, until the old one is told to end
 TAKE_LIMIT = 1.0  # s for the predecessor to accept no more
@@ -152,9 +153,10 @@
         store: Store | None,
         processor: ExternalProcessorServer | None,
         member: Member | None = None,
+        tier: TierMember | None = None,
     ) -> None:
         self.config, self.read = config, read
-        self.member = member
+        self.member, self.tier = member, tier
         self.decider, self.board, self.callers = decider, board, callers
         self.store, self.processor = store, processor
         self.machine = Machine()
@@ -170,6 +172,7 @@
         self.following: asyncio.Task[None] | None = None
         self.accepting: asyncio.Task[None] | None = None
         self.joining: asyncio.Task[None] | None = None
+        self.leasing: asyncio.Task[None] | None = None
         self.asking: dict[int, Channel] = {}
 
     def post(self, event: machine.Event) -> None:
@@ -180,7 +183,8 @@
         if path == READY:
             return (200, "ready") if self.machine.ready else (503, self.machine.phase.value)
         if path == FLEET:
-            return (200, self.member.status()) if self.member is not None else (404, "no fleet is set")
+            part = self.member or self.tier
+            return (200, part.status()) if part is not None else (404, "no fleet is set")
         if path in (VERSIONS, PROPOSE, VOTERS):
             if self.member is None or self.member.part.agreement is None:
                 return 404, "no agreement is set"
@@ -232,11 +236,17 @@
                     self.processor.closing()  # fronts are told on their streams: no time to learn of it
             case machine.Tell(phase, by):
                 log_event("service-state", state=phase.value, by=by, calls=len(self.decider.calls))
-                if phase is machine.Phase.STOPPING and self.member is not None:
-                    self.member.depart()
+                if phase is machine.Phase.STOPPING:
+                    self._depart()
             case _:
                 self._act_on_upgrade(action)
 
+    def _depart(self) -> None:
+        """Say goodbye to the fleet, flat or by control nodes."""
+        for part in (self.member, self.tier):
+            if part is not None:
+                part.depart()
+
     async def _tell_when_over(self) -> None:
         await self.decider.idle.wait()
         if self.processor is not None:
@@ -300,6 +310,8 @@
         assert self.channel is not None
         if self.member is not None:
             self.member.retire()  # before the word that its address is free
+        if self.tier is not None:
+            self.tier.retire()
         self.callers.yield_to(self.channel.send)
         self.decider.post(ColdShare(BESIDE))
         if self.meeting is not None:
@@ -314,6 +326,8 @@
     def _join(self) -> None:
         if self.member is not None:
             self.joining = self.loop.create_task(self.member.join(), name="fleet")
+        if self.tier is not None:
+            self.leasing = self.loop.create_task(self.tier.join(), name="control tier")
 
     async def _hear_successor(self, channel: Channel) -> None:
         while (heard := await channel.heard.get()) is not None:
@@ -408,6 +422,15 @@
     return store, processor, member
 
 
+def lease_of(config: Config, decider: Decider) -> TierMember | None:
+    """The proxy's side of the control tier, where the extras file names one."""
+    if config.extras is None or config.extras.control_tier is None:
+        return None
+    from martentide.net.tier.proxy import TierMember
+
+    return TierMember(config.extras.control_tier, config.name, decider, config.seed)
+
+
 async def serve(config: Config, read: Callable[[], Config], environment: Mapping[str, str]) -> None:
     """Run until SIGTERM (or SIGINT) and until all that was taken by then is answered and over; ``read`` reads
     the configuration anew. Raises OSError where an address can't be listened on."""
@@ -432,7 +455,8 @@
     )
 
     store, processor, member = turned_on(config, settings, decider)
-    service = Service(config, read, decider, board, callers, store, processor, member)
+    tier = lease_of(config, decider)
+    service = Service(config, read, decider, board, callers, store, processor, member, tier)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, service.post, machine.Terminate())
     loop.add_signal_handler(signal.SIGHUP, service.post, machine.HangUp())
@@ -452,8 +476,8 @@
     decider.follow(fold(config.known), ListKind.REMEMBERED)
     if store is not None:
         await store.start()
-    actors: dict[str, Decider | Board | Member | Store | None] = {
-        "decider": decider, "list": board, "fleet": member, "learned state": store,
+    actors: dict[str, Decider | Board | Member | TierMember | Store | None] = {
+        "decider": decider, "list": board, "fleet": member, "control tier": tier, "learned state": store,
     }  # fmt: skip
     tasks += [asyncio.create_task(one.run(), name=name) for name, one in actors.items() if one is not None]
     if processor is not None:
--- /dev/null
+++ b/martentide/net/tier/node.py
@@ -0,0 +1,216 @@
+"""The actor of one control node: owns its core and the membership among the nodes, and two endpoints.
+
+One endpoint hears proxies, the other the other nodes; both post into one mailbox, which has a bound.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections import Counter
+from dataclasses import dataclass
+
+from martentide.control import node
+from martentide.control.messages import BetweenNodes, Heartbeat, Join, Leave, read_control, write_control
+from martentide.control.node import (
+    ControlNode,
+    FromPeer,
+    FromProxy,
+    PeerDown,
+    PeerUp,
+    SendToPeer,
+    SendToProxy,
+)
+from martentide.control.terms import ControlTerms
+from martentide.extras import ControlNodePart
+from martentide.fleet import events as fleet
+from martentide.fleet.core import Core
+from martentide.fleet.terms import Terms
+from martentide.fleet.wire import Frame, State, Unreadable
+from martentide.net.endings import LOG, log_event
+from martentide.net.tier.datagrams import Arrived, Endpoint
+
+MOST_WAITING = 4_096  # datagrams in the mailbox; more is dropped, as a full socket buffer would
+AT_A_TIME = 64  # items taken before the rest of the program has its turn
+REPORT_GAP = 10.0  # s between two lines about leases and datagrams
+
+
+@dataclass(frozen=True, slots=True)
+class OfProxies:
+    arrived: Arrived
+
+
+@dataclass(frozen=True, slots=True)
+class OfNodes:
+    arrived: Arrived
+
+
+class Tick:
+    """The time of one of the two cores has come."""
+
+
+Item = OfProxies | OfNodes | Tick
+
+
+class ControlHost:
+    """``run`` opens the endpoints and serves until ``stop``; raises OSError where an address is taken."""
+
+    def __init__(self, part: ControlNodePart, terms: ControlTerms | None = None) -> None:
+        self.part = part
+        self.loop = asyncio.get_running_loop()
+        self.mailbox: asyncio.Queue[Item] = asyncio.Queue(MOST_WAITING)
+        self.counts: Counter[str] = Counter()
+        self.frame = Frame(part.fleet, part.secret)
+        now = self._now()
+        self.core = ControlNode(part.name, part.infos(), terms or ControlTerms(), now)
+        others = tuple(one.gossip for one in part.nodes if one.name != part.name)
+        own = part.own()
+        life = secrets.randbits(62) + 1
+        self.swim = Core(part.name, own.region, own.gossip, others, Terms(), life, now, life)
+        self.stopping = asyncio.Event()
+        self.timer: asyncio.TimerHandle | None = None
+        self.proxies: asyncio.DatagramTransport | None = None
+        self.nodes: asyncio.DatagramTransport | None = None
+
+    def _now(self) -> float:
+        return self.loop.time() * 1_000.0
+
+    def stop(self) -> None:
+        """Say goodbye to the other nodes, and end; proxies go elsewhere when they hear no more."""
+        self.stopping.set()
+
+    async def run(self) -> None:
+        own = self.part.own()
+        open_endpoint = self.loop.create_datagram_endpoint
+        self.proxies, _ = await open_endpoint(
+            lambda: Endpoint(lambda arrived: self._post(OfProxies(arrived)), self.counts), own.address
+        )
+        self.nodes, _ = await open_endpoint(
+            lambda: Endpoint(lambda arrived: self._post(OfNodes(arrived)), self.counts), own.gossip
+        )
+        log_event(
+            "control-serving", name=self.part.name, region=own.region,
+            address=f"{own.address[0]}:{own.address[1]}", gossip=f"{own.gossip[0]}:{own.gossip[1]}",
+        )  # fmt: skip
+        taking = self.loop.create_task(self._take_all(), name="control node")
+        reporting = self.loop.create_task(self._report(), name="control report")
+        await self.stopping.wait()
+        self._act_on_swim(self.swim.handle(self._now(), fleet.Depart()))
+        for task in (taking, reporting):
+            task.cancel()
+        if self.timer is not None:
+            self.timer.cancel()
+        self.proxies.close()
+        self.nodes.close()
+        log_event("control-stopped", leases=len(self.core.leases))
+
+    async def _report(self) -> None:
+        while True:
+            await asyncio.sleep(REPORT_GAP)
+            log_event("control-leases", leases=len(self.core.leases), **dict(self.counts + self.core.counts))
+
+    def _post(self, item: Item) -> None:
+        if self.mailbox.full():
+            self.counts["overrun"] += 1
+            return
+        self.mailbox.put_nowait(item)
+
+    # ---- items ------------------------------------------------------------------------------------------
+
+    async def _take_all(self) -> None:
+        self._arm()
+        taken = 0
+        while True:
+            item = await self.mailbox.get()
+            taken += 1
+            if taken % AT_A_TIME == 0:
+                await asyncio.sleep(0)
+            try:
+                self._take(item)
+            except Exception:  # one strange message must not end the node
+                LOG.exception("internal-error control", item=type(item).__name__)
+            self._arm()
+
+    def _take(self, item: Item) -> None:
+        match item:
+            case OfProxies(arrived):
+                self._from_proxy(arrived)
+            case OfNodes(arrived):
+                self._from_node(arrived)
+            case Tick():
+                now = self._now()
+                if now >= self.swim.due:
+                    self._act_on_swim(self.swim.handle(now, fleet.Due()))
+                self._feed(node.Due())
+
+    def _arm(self) -> None:
+        due = min(self.core.due, self.swim.due) / 1_000.0
+        if self.timer is not None:
+            if self.timer.when() == due:
+                return
+            self.timer.cancel()
+        self.timer = self.loop.call_at(due, self._tick)
+
+    def _tick(self) -> None:
+        self.timer = None
+        self._post(Tick())
+        if self.mailbox.full():
+            self.timer = self.loop.call_later(0.05, self._tick)
+
+    def _from_proxy(self, arrived: Arrived) -> None:
+        self.counts["received"] += 1
+        try:
+            message = read_control(self.frame.open(arrived.data))
+        except Unreadable as error:
+            self.counts[error.why.value] += 1
+            return
+        if isinstance(message, Join | Heartbeat | Leave):
+            self._feed(FromProxy(message, arrived.source))
+        else:
+            self.counts["misplaced"] += 1
+
+    def _from_node(self, arrived: Arrived) -> None:
+        try:
+            said = self.frame.read(arrived.data)
+        except Unreadable as error:
+            self.counts[error.why.value] += 1
+            return
+        self._act_on_swim(self.swim.handle(self._now(), fleet.Heard(said)))
+
+    # ---- actions ----------------------------------------------------------------------------------------
+
+    def _feed(self, event: node.Event) -> None:
+        for action in self.core.handle(self._now(), event):
+            match action:
+                case SendToProxy(address, message):
+                    assert isinstance(address, tuple)
+                    data = self.frame.seal(write_control(message))
+                    self.counts["sent"] += 1
+                    if self.proxies is not None:
+                        self.proxies.sendto(data, address)
+                case SendToPeer(to, between):
+                    carry = fleet.Carry(to, write_control(between))
+                    self._act_on_swim(self.swim.handle(self._now(), carry))
+
+    def _act_on_swim(self, actions: list[fleet.Action]) -> None:
+        for action in actions:
+            match action:
+                case fleet.Send(address, datagram):
+                    if self.nodes is not None:
+                        self.nodes.sendto(self.frame.write(datagram), address)
+                case fleet.Changed(word, _, _, evidence):
+                    up = word.state < State.DEAD
+                    state = State(word.state).name.lower()
+                    log_event("control-node", node=word.name, state=state, evidence=repr(evidence))
+                    self._feed(PeerUp(word.name) if up else PeerDown(word.name))
+                case fleet.Carried(_, body):
+                    self._from_peer(body)
+
+    def _from_peer(self, body: bytes) -> None:
+        try:
+            message = read_control(body)
+        except Unreadable as error:
+            self.counts[error.why.value] += 1
+            return
+        if isinstance(message, BetweenNodes):
+            self._feed(FromPeer(message))
--- /dev/null
+++ b/martentide/net/tier/proxy.py
@@ -0,0 +1,212 @@
+"""The actor of a proxy's lease: owns the client's core, and speaks with control nodes by datagrams.
+
+What it learns is for the same consumers as the flat fleet's; until they take it, it is shown by the
+operator's call ``/control/fleet``. The proxy's own pressure is that of its session server, by its reports.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections import Counter
+
+from martentide.control import client
+from martentide.control.client import (
+    Alone,
+    Attached,
+    ControlClient,
+    FromNode,
+    OwnState,
+    ProxyInfo,
+    SendToNode,
+)
+from martentide.control.messages import (
+    MOST_PRESSURE,
+    Granted,
+    StateEntry,
+    TurnedAway,
+    Update,
+    read_control,
+    write_control,
+)
+from martentide.control.terms import ControlTerms
+from martentide.extras import ControlTierPart
+from martentide.fleet.wire import Frame, Unreadable
+from martentide.interface import AttemptEnded, Event, ProbeEnded
+from martentide.net.decider import Decider
+from martentide.net.endings import LOG, log_event
+from martentide.net.tier.datagrams import Arrived, Endpoint
+
+MOST_WAITING = 256  # items in the mailbox; more is dropped, as a full socket buffer would
+UNIT = 100  # in which the session server's size is told as its capacity
+
+
+class Tick:
+    """The core's time has come."""
+
+
+Item = Arrived | Tick
+
+
+class TierMember:
+    """This proxy's lease; ``join`` after ``retire`` takes one anew."""
+
+    def __init__(self, part: ControlTierPart, name: str, decider: Decider, seed: int) -> None:
+        self.part, self.name, self.decider, self.seed = part, name, decider, seed
+        self.loop = asyncio.get_running_loop()
+        self.mailbox: asyncio.Queue[Item] = asyncio.Queue(MOST_WAITING)
+        self.counts: Counter[str] = Counter()
+        self.frame = Frame(part.fleet, part.secret)
+        self.addresses = {one.name: one.address for one in part.nodes}
+        self.own = OwnState(UNIT, 0)
+        self.core: ControlClient | None = None
+        self.transport: asyncio.DatagramTransport | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        decider.heard.append(self._overhear)
+
+    def _now(self) -> float:
+        return self.loop.time() * 1_000.0
+
+    # ---- life -------------------------------------------------------------------------------------------
+
+    async def join(self) -> None:
+        """Open an endpoint, at a port of the system's choice, and ask for a lease."""
+        if self.core is not None:
+            return
+        transport, _ = await self.loop.create_datagram_endpoint(
+            lambda: Endpoint(self.post, self.counts), ("0.0.0.0", 0)
+        )
+        self.transport = transport
+        part = self.part
+        info = ProxyInfo(
+            self.name, part.region, part.zone, part.service, frozenset((part.service, *part.calls))
+        )
+        # Leases of a later process under this name count before those of an earlier one.
+        epoch = int(time.time())
+        self.core = ControlClient(
+            info, part.infos(), ControlTerms(), self.seed ^ time.monotonic_ns(), self._now(), epoch
+        )
+        self._feed(self.own)
+        self._arm()
+
+    def retire(self) -> None:
+        """Fall silent without a word: a successor takes the name over."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.transport is not None:
+            self.transport.close()
+        self.core = self.transport = self.timer = None
+
+    def depart(self) -> None:
+        """Give the lease back, then fall silent."""
+        if self.core is not None:
+            self._feed(client.Depart())
+        self.retire()
+
+    async def run(self) -> None:
+        while True:
+            item = await self.mailbox.get()
+            try:
+                self._take(item)
+            except Exception:  # one strange message must not end the lease
+                LOG.exception("internal-error tier", item=type(item).__name__)
+            if self.core is not None:
+                self._arm()
+
+    def post(self, item: Item) -> None:
+        if self.mailbox.full():
+            self.counts["overrun"] += 1
+            return
+        self.mailbox.put_nowait(item)
+
+    # ---- items ------------------------------------------------------------------------------------------
+
+    def _take(self, item: Item) -> None:
+        if self.core is None:
+            return
+        if isinstance(item, Tick):
+            self._feed(client.Due())
+            return
+        self.counts["received"] += 1
+        self.counts["received_bytes"] += len(item.data)
+        try:
+            message = read_control(self.frame.open(item.data))
+        except Unreadable as error:
+            self.counts[error.why.value] += 1
+            return
+        if isinstance(message, Granted | TurnedAway | Update):
+            self._feed(FromNode(message))
+        else:
+            self.counts["misplaced"] += 1
+
+    def _arm(self) -> None:
+        assert self.core is not None
+        due = self.core.due / 1_000.0
+        if self.timer is not None:
+            if self.timer.when() == due:
+                return
+            self.timer.cancel()
+        self.timer = self.loop.call_at(due, self._tick)
+
+    def _tick(self) -> None:
+        self.timer = None
+        self.post(Tick())
+        if self.mailbox.full():
+            self.timer = self.loop.call_later(0.05, self._tick)
+
+    def _feed(self, event: client.Event) -> None:
+        assert self.core is not None
+        for action in self.core.handle(self._now(), event):
+            match action:
+                case SendToNode(node, message):
+                    data = self.frame.seal(write_control(message))
+                    self.counts["sent"] += 1
+                    self.counts["sent_bytes"] += len(data)
+                    if self.transport is not None:
+                        self.transport.sendto(data, self.addresses[node])
+                case Attached(node):
+                    log_event("tier-attached", node=node, epoch=self.core.epoch)
+                case Alone():
+                    log_event("tier-alone", nodes=len(self.addresses))
+
+    # ---- the proxy's own state --------------------------------------------------------------------------
+
+    def _overhear(self, _: float, event: Event) -> None:
+        """Runs in the decider's turn: what the own session server asks to be held back."""
+        if not isinstance(event, ProbeEnded | AttemptEnded) or event.server != self.part.server:
+            return
+        if event.report is None or event.report.hold_back is None:
+            return
+        listed = self.decider.listed.get(event.server)
+        capacity = UNIT if listed is None else max(1, round(UNIT * listed.entry.size))
+        pressure = min(MOST_PRESSURE, max(0, round(event.report.hold_back * MOST_PRESSURE)))
+        own = OwnState(capacity, pressure)
+        if own != self.own:
+            self.own = own
+            if self.core is not None:
+                self._feed(own)
+
+    # ---- what people see --------------------------------------------------------------------------------
+
+    def state(self, service: str) -> list[StateEntry]:
+        """What may be acted on of a service: nothing without a lease's word in time."""
+        return [] if self.core is None else self.core.state(service, self._now())
+
+    def status(self) -> str:
+        """JSON: the lease, and the entries with their ages in ms."""
+        core = self.core
+        if core is None:
+            return json.dumps({"fleet": self.part.fleet, "name": self.name, "state": "retired"})
+        now = self._now()
+        entries = [
+            {"service": held.entry.service, "region": held.entry.region, "zone": held.entry.zone,
+             "up": held.entry.up, "pressure": held.entry.pressure, "age": round(core.age(key, now)),
+             "members": [one.name for one in held.entry.members]}
+            for key, held in sorted(core.entries.items())
+        ]  # fmt: skip
+        state = "attached" if core.attached else "alone" if core.alone else "joining"
+        return json.dumps(
+            {"fleet": self.part.fleet, "name": self.name, "state": state, "node": core.node,
+             "counts": dict(self.counts), "entries": entries}
+        )  # fmt: skip
--- /dev/null
+++ b/tests/control/test_processes.py
@@ -0,0 +1,145 @@
+"""Control nodes and proxies as real processes: leases, state, the loss of one node and of all, bad input."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from martentide.extras import ExtrasError, read_extras
+from martentide.settings import settings_from
+from martentide_lab.control.processes import ControlNodes, status, until_attached
+from martentide_lab.proxy import ROOT, Proxy
+from martentide_lab.servers import Board, SessionServer
+from tests.net.support import SETTINGS
+
+LIMIT = 30.0  # s that any wait may take before the test fails
+
+
+async def holds(proxy: Proxy, service: str, members: set[str]) -> None:
+    """Until the proxy holds just these members of the service."""
+    async with asyncio.timeout(LIMIT):
+        while True:
+            entries = (await status(proxy))["entries"]
+            held = {name for one in entries if one["service"] == service for name in one["members"]}
+            if held == members:
+                return
+            await asyncio.sleep(0.05)
+
+
+async def play() -> None:
+    server, board = SessionServer(0), Board()
+    await server.start()
+    await board.start()
+    nodes = ControlNodes(3)
+    for name in nodes.names:
+        await nodes.start(name)
+    proxies = []
+    for at, (service, calls) in enumerate([("sign", ["pay"]), ("sign", []), ("pay", ["sign"])]):
+        extras = nodes.extras(f"z{at}", service, calls)
+        proxies.append(Proxy(board, [server], extras, operated=True, name=f"p{at}", peers=True))
+    try:
+        for proxy in proxies:
+            await proxy.start()
+        await until_attached(proxies, LIMIT)
+        caller = proxies[2]
+        await holds(caller, "sign", {"p0", "p1"})
+        await holds(proxies[0], "pay", {"p2"})
+
+        held = (await status(caller))["node"]
+        await nodes.kill(held)
+        async with asyncio.timeout(LIMIT):
+            while (now := await status(caller))["node"] == held or now["state"] != "attached":
+                await asyncio.sleep(0.05)
+        await until_attached(proxies, LIMIT)
+        await holds(caller, "sign", {"p0", "p1"})
+
+        proxies[0].send(signal.SIGTERM)  # it gives its lease back, and is forgotten at once
+        await holds(caller, "sign", {"p1"})
+
+        for name in list(nodes.processes):
+            await nodes.kill(name)
+        await caller.logged("tier-alone")
+        await nodes.start(held)
+        await until_attached(proxies[1:], LIMIT)
+        await holds(caller, "sign", {"p1"})
+    finally:
+        for proxy in proxies:
+            await proxy.kill()
+        await nodes.end()
+        await server.stop()
+        await board.stop()
+
+
+def test_leases_state_and_the_loss_of_nodes() -> None:
+    asyncio.run(play())
+
+
+def test_garbage_at_the_control_port_costs_a_counter_only() -> None:
+    async def flood() -> None:
+        nodes = ControlNodes(1)
+        await nodes.start("c0")
+        server, board = SessionServer(0), Board()
+        await server.start()
+        await board.start()
+        port = int(nodes.lines.split('address="127.0.0.1:')[1].split('"')[0])
+        try:
+            with socket.socket(type=socket.SOCK_DGRAM) as stranger:
+                for at in range(2_000):
+                    stranger.sendto(bytes([at % 256]) * (at % 1_400), ("127.0.0.1", port))
+            async with Proxy(
+                board, [server], nodes.extras("z0", "sign", []), operated=True, name="p0", peers=True
+            ) as proxy:
+                await until_attached([proxy], LIMIT)
+        finally:
+            await nodes.end()
+            await server.stop()
+            await board.stop()
+
+    asyncio.run(flood())
+
+
+NODES = 'nodes {\n c0 region="r" address="127.0.0.1:1" gossip="127.0.0.1:2"\n }'
+TIER = 'control-tier {{\n fleet "f"\n region "r"\n zone "z"\n service "s"\n {}\n}}'
+
+
+@pytest.mark.parametrize(
+    ("text", "message"),
+    [
+        (TIER.format(""), "control-tier: expected a node nodes, found none"),
+        (TIER.format(NODES + '\n calls 5'), "calls: expected names of services, found [5]"),
+        (TIER.format(NODES + '\n zome "x"'), "zome: unknown node; did you mean zone?"),
+        (TIER.format('nodes {\n c0 region="r"\n }'), "expected the properties region, address"),
+        (
+            TIER.format('nodes {\n c0 region="r" address="here:1"\n }'),
+            "expected an IPv4 address, found 'here'",
+        ),
+        (f'control-node {{\n fleet "f"\n name "c1"\n {NODES}\n}}', "expected one of the nodes, found 'c1'"),
+        (f'control-node {{\n fleet "f"\n {NODES}\n}}', "expected a node name, found none"),
+    ],
+)  # fmt: skip
+def test_a_bad_file_gets_one_clear_line(text: str, message: str) -> None:
+    with pytest.raises(ExtrasError) as error:
+        read_extras(text, "f", None)
+    assert message in str(error.value)
+
+
+def test_a_lease_is_refused_where_proxies_may_not_talk() -> None:
+    settings = settings_from(SETTINGS)
+    assert not settings.may_tell_peers
+    with pytest.raises(ExtrasError, match=r"control-tier: the settings forbid .*limits\.peers is false"):
+        read_extras(TIER.format(NODES), "f", settings)
+
+
+def test_the_command_needs_its_node(tmp_path: Path) -> None:
+    path = tmp_path / "extras.kdl"
+    path.write_text("// nothing")
+    command: list[Any] = [sys.executable, "-B", "-m", "martentide", "control", "--extras", str(path)]
+    ended = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=LIMIT)
+    assert ended.returncode == 2 and "expected a node control-node, found none" in ended.stderr
