--- a/martentide/net/fleet/member.py
+++ b/martentide/net/fleet/member.py
@@ -36,6 +36,7 @@
 from martentide.fleet.wire import Frame, State, Unreadable
 from martentide.interface import AttemptEnded, Event, ProbeEnded, RepeatBudget, Settings, Stands
 from martentide.net.decider import Decider, Probing
+from martentide.net.due_timer import DueTimer
 from martentide.net.endings import LOG, log_event
 from martentide.overload import core as overload
 from martentide.overload.level import Phase
@@ -99,7 +100,7 @@
         self.phase = Phase.NORMAL  # as of the last line about it
         self.core: Core | None = None
         self.transport: asyncio.DatagramTransport | None = None
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer = DueTimer(lambda: self.post(Tick()))
         self.looking: asyncio.TimerHandle | None = None
         self.agreed: Agreed | None = None
         self.lives = 0
@@ -169,9 +170,9 @@
     def retire(self) -> None:
         """Fall silent without a word: a successor takes the name over."""
         self.wanted = False
-        for timer in (self.timer, self.looking):
-            if timer is not None:
-                timer.cancel()
+        self.timer.cancel()
+        if self.looking is not None:
+            self.looking.cancel()
         if self.transport is not None:
             self.transport.close()
         if self.agreed is not None:
@@ -182,7 +183,7 @@
         if self.overload is not None:
             self.decider.post(RepeatBudget(LAST_REPEATS, LAST_LIFE))
             self.overload = None
-        self.core = self.transport = self.timer = self.looking = None
+        self.core = self.transport = self.looking = None
 
     def depart(self) -> None:
         """Tell the others, then fall silent."""
@@ -205,11 +206,13 @@
             if self.core is not None:
                 self._arm()
 
-    def post(self, item: Item) -> None:
+    def post(self, item: Item) -> bool:
+        """Whether there was room for it."""
         if self.mailbox.full():
             self.counts["overrun"] += 1
-            return
+            return False
         self.mailbox.put_nowait(item)
+        return True
 
     # ---- items ------------------------------------------------------------------------------------------
 
@@ -229,18 +232,7 @@
 
     def _arm(self) -> None:
         assert self.core is not None
-        due = self.core.due / 1000.0
-        if self.timer is not None:
-            if self.timer.when() == due:
-                return  # most datagrams leave it as it is
-            self.timer.cancel()
-        self.timer = self.loop.call_at(due, self._post_tick)
-
-    def _post_tick(self) -> None:
-        self.timer = None
-        self.post(Tick())
-        if self.core is not None and self.mailbox.full():
-            self.timer = self.loop.call_later(0.05, self._post_tick)
+        self.timer.arm(self.core.due / 1000.0)
 
     def _post_look(self) -> None:
         if self.mailbox.full():
--- a/martentide/net/tier/datagrams.py
+++ b/martentide/net/tier/datagrams.py
@@ -21,7 +21,7 @@
 class Endpoint(asyncio.DatagramProtocol):
     """``post`` gets each datagram; ``counts`` those that a send could not deliver."""
 
-    def __init__(self, post: Callable[[Arrived], None], counts: Counter[str]) -> None:
+    def __init__(self, post: Callable[[Arrived], object], counts: Counter[str]) -> None:
         self.post, self.counts = post, counts
 
     def datagram_received(self, data: bytes, address: tuple[str | object, int]) -> None:
--- a/martentide/net/tier/node.py
+++ b/martentide/net/tier/node.py
@@ -27,6 +27,7 @@
 from martentide.fleet.core import Core
 from martentide.fleet.terms import Terms
 from martentide.fleet.wire import Frame, State, Unreadable
+from martentide.net.due_timer import DueTimer
 from martentide.net.endings import LOG, log_event
 from martentide.net.tier.datagrams import Arrived, Endpoint
 
@@ -68,7 +69,7 @@
         life = secrets.randbits(62) + 1
         self.swim = Core(part.name, own.region, own.gossip, others, Terms(), life, now, life)
         self.stopping = asyncio.Event()
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer = DueTimer(lambda: self._post(Tick()))
         self.proxies: asyncio.DatagramTransport | None = None
         self.nodes: asyncio.DatagramTransport | None = None
 
@@ -98,8 +99,7 @@
         self._act_on_swim(self.swim.handle(self._now(), fleet.Depart()))
         for task in (taking, reporting):
             task.cancel()
-        if self.timer is not None:
-            self.timer.cancel()
+        self.timer.cancel()
         self.proxies.close()
         self.nodes.close()
         log_event("control-stopped", leases=len(self.core.leases))
@@ -109,11 +109,12 @@
             await asyncio.sleep(REPORT_GAP)
             log_event("control-leases", leases=len(self.core.leases), **dict(self.counts + self.core.counts))
 
-    def _post(self, item: Item) -> None:
+    def _post(self, item: Item) -> bool:
         if self.mailbox.full():
             self.counts["overrun"] += 1
-            return
+            return False
         self.mailbox.put_nowait(item)
+        return True
 
     # ---- items ------------------------------------------------------------------------------------------
 
@@ -144,18 +145,7 @@
                 self._feed(node.Due())
 
     def _arm(self) -> None:
-        due = min(self.core.due, self.swim.due) / 1_000.0
-        if self.timer is not None:
-            if self.timer.when() == due:
-                return
-            self.timer.cancel()
-        self.timer = self.loop.call_at(due, self._tick)
-
-    def _tick(self) -> None:
-        self.timer = None
-        self._post(Tick())
-        if self.mailbox.full():
-            self.timer = self.loop.call_later(0.05, self._tick)
+        self.timer.arm(min(self.core.due, self.swim.due) / 1_000.0)
 
     def _from_proxy(self, arrived: Arrived) -> None:
         self.counts["received"] += 1
--- a/martentide/net/tier/proxy.py
+++ b/martentide/net/tier/proxy.py
@@ -35,6 +35,7 @@
 from martentide.fleet.wire import Frame, Unreadable
 from martentide.interface import AttemptEnded, Event, ProbeEnded
 from martentide.net.decider import Decider
+from martentide.net.due_timer import DueTimer
 from martentide.net.endings import LOG, log_event
 from martentide.net.tier.datagrams import Arrived, Endpoint
 
@@ -62,7 +63,7 @@
         self.own = OwnState(UNIT, 0)
         self.core: ControlClient | None = None
         self.transport: asyncio.DatagramTransport | None = None
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer = DueTimer(lambda: self.post(Tick()))
         decider.heard.append(self._overhear)
 
     def _now(self) -> float:
@@ -92,11 +93,10 @@
 
     def retire(self) -> None:
         """Fall silent without a word: a successor takes the name over."""
-        if self.timer is not None:
-            self.timer.cancel()
+        self.timer.cancel()
         if self.transport is not None:
             self.transport.close()
-        self.core = self.transport = self.timer = None
+        self.core = self.transport = None
 
     def depart(self) -> None:
         """Give the lease back, then fall silent."""
@@ -114,11 +114,13 @@
             if self.core is not None:
                 self._arm()
 
-    def post(self, item: Item) -> None:
+    def post(self, item: Item) -> bool:
+        """Whether there was room for it."""
         if self.mailbox.full():
             self.counts["overrun"] += 1
-            return
+            return False
         self.mailbox.put_nowait(item)
+        return True
 
     # ---- items ------------------------------------------------------------------------------------------
 
@@ -142,18 +144,7 @@
 
     def _arm(self) -> None:
         assert self.core is not None
-        due = self.core.due / 1_000.0
-        if self.timer is not None:
-            if self.timer.when() == due:
-                return
-            self.timer.cancel()
-        self.timer = self.loop.call_at(due, self._tick)
-
-    def _tick(self) -> None:
-        self.timer = None
-        self.post(Tick())
-        if self.mailbox.full():
-            self.timer = self.loop.call_later(0.05, self._tick)
+        self.timer.arm(self.core.due / 1_000.0)
 
     def _feed(self, event: client.Event) -> None:
         assert self.core is not None
