Take nodes' summaries in their order; a few that came early wait for those before them

Change: a whole set begins a numbered series, early messages wait up to 0.5 s. Subscribers get 800 B/s and 500 B at once.

--- a/martentide/control/messages.py
+++ b/martentide/control/messages.py
@@ -110,14 +110,14 @@
 
 
 class Summary(msgspec.Struct, array_like=True, frozen=True, gc=False, tag=7):
-    """What one node tells another of its own leases: entries that changed, by number, and how many it holds.
-    ``anew``: the first of a whole set that takes the place of all before."""
+    """What one node tells another of its own leases: entries that changed, and how many it holds. A series
+    begins with the whole set, which takes the place of all before, and numbers its messages from 1."""
 
     node: str
     region: str
     leases: int
+    series: int
     number: int
-    anew: bool
     entries: list[StateEntry]
 
 
--- a/martentide/control/node.py
+++ b/martentide/control/node.py
@@ -32,6 +32,8 @@
 from martentide.control.terms import ControlTerms
 
 SUMMARY_ROOM = 1_100  # bytes of entries in one message between nodes: it travels inside a datagram
+MOST_EARLY = 512  # summaries of one node that wait for one before them
+GAP_LIMIT = 500.0  # ms for which they wait, before the whole set is asked for
 SUMMARY_GAP = 1_000.0  # ms without a change after which a node says all the same that it lives
 SHED_AT_A_TIME = 4  # leases that a node with too many gives up at one look
 HURRIED_JOIN = 3  # times the join pace after which a proxy is told to come back
@@ -89,9 +91,13 @@
     up: bool = False
     heard: float = -math.inf
     leases: int = 0
-    number: int = 0  # of its last summary
-    asked: bool = False  # for the whole set
-    told: int = 0  # number of the last summary to it
+    series: int = -1  # of its summaries, and the number of the last one that was taken
+    number: int = 0
+    early: dict[int, Summary] = field(default_factory=dict)  # that came ahead of one before them
+    gap_since: float | None = None
+    asked_at: float = -math.inf  # for the whole set
+    told: int = 0  # number of the last summary to it, and its series
+    told_series: int = 0
     waiting: OrderedDict[DetailKey, None] = field(default_factory=OrderedDict)
     anew: bool = True
     sent: float = -math.inf
@@ -100,7 +106,11 @@
 class ControlNode:
     """``nodes`` are all control nodes of the fleet, this one among them."""
 
-    def __init__(self, name: str, nodes: Iterable[NodeInfo], terms: ControlTerms, now: float) -> None:
+    def __init__(
+        self, name: str, nodes: Iterable[NodeInfo], terms: ControlTerms, now: float, series: int = 0
+    ) -> None:
+        """``series``: above those of earlier processes of that name."""
+        self.series = series
         infos = {info.name: info for info in nodes}
         self.info, self.terms = infos[name], terms
         self.name, self.region = name, self.info.region
@@ -129,7 +139,7 @@
                 self._peer_up(name)
             case PeerDown(name):
                 if (peer := self.peers.get(name)) is not None:
-                    peer.up = False
+                    peer.up, peer.series = False, -1  # its next process may count from anywhere
             case Due():
                 self._due(now)
         return self.actions
@@ -295,19 +305,33 @@
                 self._summary(peer, message, now)
 
     def _summary(self, peer: Peer, summary: Summary, now: float) -> None:
-        if not summary.anew and summary.number != peer.number + 1:
-            if not peer.asked or now - peer.heard > SUMMARY_GAP:
-                peer.asked = True
-                self.actions.append(SendToPeer(peer.info.name, AskAnew(self.name)))
+        """Take summaries in their order: datagrams overtake each other, and a few are waited for."""
+        if summary.series < peer.series:
             return
-        if summary.anew:
+        if summary.series > peer.series:
+            peer.series, peer.number, peer.gap_since = summary.series, 0, None
+            peer.early.clear()
+        if summary.number > peer.number and len(peer.early) < MOST_EARLY:
+            peer.early[summary.number] = summary
+        while (following := peer.early.pop(peer.number + 1, None)) is not None:
+            self._take_summary(peer, following, now)
+        if not peer.early:
+            peer.gap_since = None
+        elif peer.gap_since is None:
+            peer.gap_since = now
+        elif now - max(peer.gap_since, peer.asked_at) > GAP_LIMIT:
+            peer.asked_at = now
+            self.actions.append(SendToPeer(peer.info.name, AskAnew(self.name)))
+
+    def _take_summary(self, peer: Peer, summary: Summary, now: float) -> None:
+        whole = summary.number == 1
+        if whole:
             for key in self.shares.drop_source(peer.info.name):
                 self._changed(key, urgent=False)
-            peer.asked = False
         peer.heard, peer.number, peer.leases = now, summary.number, summary.leases
         for entry in summary.entries:
             moved = self.shares.set_share(peer.info.name, entry)
-            self._changed(entry.key, urgent=moved and not summary.anew)
+            self._changed(entry.key, urgent=moved and not whole)
 
     def _tell_peer(self, peer: Peer, now: float) -> None:
         if not peer.up:
@@ -318,6 +342,8 @@
             keys = self.shares.own_keys()
             peer.waiting = OrderedDict.fromkeys(keys if near else [(key[0], key[1], "") for key in keys])
             peer.anew, peer.told = False, 0
+            self.series += 1
+            peer.told_series = self.series
         if not peer.waiting and not anew and now - peer.sent < SUMMARY_GAP:
             return
         while True:
@@ -332,9 +358,8 @@
                 entries.append(entry)
             peer.told += 1
             peer.sent = now
-            told = Summary(self.name, self.region, len(self.leases), peer.told, anew, entries)
+            told = Summary(self.name, self.region, len(self.leases), peer.told_series, peer.told, entries)
             self.actions.append(SendToPeer(peer.info.name, told))
-            anew = False
             if not peer.waiting:
                 return
 
@@ -351,7 +376,7 @@
         } | {self.region}
         for peer in self.peers.values():
             if peer.number and now - peer.heard > self.terms.peer_end and peer.info.region in heard:
-                peer.number = 0
+                peer.number, peer.series = 0, -1
                 for key in self.shares.drop_source(peer.info.name):
                     self._changed(key, urgent=True)
 
--- a/martentide/control/terms.py
+++ b/martentide/control/terms.py
@@ -23,8 +23,8 @@
     least_bound: int = 100  # leases that a node may hold whatever the mean: what it knows of others is late
     load_memory: float = 30_000.0  # for which a lost node's leases still count towards the mean
     flush: float = 200.0  # between two looks of a node at what is to be told
-    update_bytes_s: float = 700.0  # to one subscriber, with headers
-    update_burst: float = 600.0  # at once; rate and burst together bound any second
+    update_bytes_s: float = 800.0  # to one subscriber, with headers
+    update_burst: float = 500.0  # at once; rate and burst together bound any second
     longest_wait: float = 1_500.0  # of a change in a subscriber's queue, after which it goes first
     window: int = 32  # updates to one subscriber that are not acknowledged yet
     resend: float = 1_500.0  # for which an update may stay unacknowledged
--- a/martentide/net/tier/node.py
+++ b/martentide/net/tier/node.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import secrets
+import time
 from collections import Counter
 from dataclasses import dataclass
 
@@ -63,7 +64,9 @@
         self.counts: Counter[str] = Counter()
         self.frame = Frame(part.fleet, part.secret)
         now = self._now()
-        self.core = ControlNode(part.name, part.infos(), terms or ControlTerms(), now)
+        self.core = ControlNode(
+            part.name, part.infos(), terms or ControlTerms(), now, int(time.time()) * 1_000
+        )
         others = tuple(one.gossip for one in part.nodes if one.name != part.name)
         own = part.own()
         life = secrets.randbits(62) + 1
--- a/martentide_lab/control/simulated.py
+++ b/martentide_lab/control/simulated.py
@@ -118,7 +118,7 @@
 
     def start_node(self, name: str) -> None:
         self.fleet.start(name)
-        core = self.nodes[name] = ControlNode(name, self.infos, self.terms, self.now)
+        core = self.nodes[name] = ControlNode(name, self.infos, self.terms, self.now, int(self.now) * 1_000)
         self._node_due(name, core)
 
     def kill_node(self, name: str) -> None:
--- a/tests/control/test_cores.py
+++ b/tests/control/test_cores.py
@@ -21,7 +21,15 @@
     read_control,
     write_control,
 )
-from martentide.control.node import ControlNode, FromPeer, FromProxy, PeerUp, SendToPeer, SendToProxy
+from martentide.control.node import (
+    GAP_LIMIT,
+    ControlNode,
+    FromPeer,
+    FromProxy,
+    PeerUp,
+    SendToPeer,
+    SendToProxy,
+)
 from martentide.control.placement import NodeInfo, preference
 from martentide.control.shares import Shares, digest
 from martentide.control.terms import ControlTerms
@@ -111,14 +119,14 @@
     one = OneNode(terms)
     for name in ("n1", "n2"):
         one.core.handle(0.0, PeerUp(name))
-    one.core.handle(0.0, FromPeer(Summary("n1", "r0", 10, 1, True, [])))
+    one.core.handle(0.0, FromPeer(Summary("n1", "r0", 10, 1, 1, [])))
     granted = 0
     for at in range(30):
         (answer,) = one.hear(join(f"p{at}"))
         assert isinstance(answer, SendToProxy)
         granted += isinstance(answer.message, Granted)
     assert granted == one.core.bound(0.0) == len(one.core.leases) < 30
-    one.core.handle(0.0, FromPeer(Summary("n1", "r0", 0, 2, False, [])))  # the other one has come back empty
+    one.core.handle(0.0, FromPeer(Summary("n1", "r0", 0, 1, 2, [])))  # the other one has come back empty
     shed = [a for a in one.wait(200) if isinstance(a, SendToProxy) and isinstance(a.message, TurnedAway)]
     assert shed and all(a.message.full for a in shed if isinstance(a.message, TurnedAway))
 
@@ -204,8 +212,16 @@
     by_peer = {one.to: one.message for one in told if isinstance(one.message, Summary)}
     assert by_peer["n1"].entries[0].members and by_peer["n1"].entries[0].zone == "z0"
     assert by_peer["n2"].entries[0] == StateEntry("s0", "r0", "", 1, 100, 0)
-    (asked,) = one.core.handle(one.now, FromPeer(Summary("n2", "r1", 3, 5, False, [])))
-    assert asked == SendToPeer("n2", AskAnew("n0"))
+    first = Summary("n2", "r1", 3, 1, 1, [])
+    late = Summary("n2", "r1", 3, 1, 2, [StateEntry("s0", "r1", "", 3, 300, 0)])
+    early = Summary("n2", "r1", 3, 1, 3, [StateEntry("s0", "r1", "", 4, 400, 0)])
+    for summary in (first, early, late):  # one overtook the other: both count, in their order
+        assert one.core.handle(one.now, FromPeer(summary)) == []
+    assert one.core.shares.value(("s0", "r1", ""), "r0").entry.up == 4
+    for number in (5, 6):
+        one.now += GAP_LIMIT
+        asked = one.core.handle(one.now + number, FromPeer(Summary("n2", "r1", 3, 1, number, [])))
+    assert asked == [SendToPeer("n2", AskAnew("n0"))]
 
 
 def test_a_silent_region_stays_with_its_age_a_silent_neighbour_does_not() -> None:
@@ -215,7 +231,7 @@
         key = ("s0", region, "z5" if region == "r0" else "")
         members = [MemberState("p9", 1, 100, 0)] if region == "r0" else []
         entry = StateEntry(*key, 1, 100, 0, members)
-        one.core.handle(0.0, FromPeer(Summary(name, region, 1, 1, True, [entry])))
+        one.core.handle(0.0, FromPeer(Summary(name, region, 1, 1, 1, [entry])))
     one.wait(TERMS.peer_end + 400)
     keys = one.core.shares.keys("s0", "r0")
     assert keys == [("s0", "r1", "")] and one.core.ages["r1"] > TERMS.peer_end
