Review case 1: a bad client's withdrawal ends another client's call unanswered

Seen: a set-up under the id of another host's call, withdrawn in the same write, ends that call: open ones get no final answer, standing ones are hung up at the server and never released to their caller.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A caller goes silent in the middle of a set-up while another one of its own is open on the connection."""
+"""A bad client sends a set-up under the id of another client's call, and withdraws it at once."""
 
 from __future__ import annotations
 
@@ -7,14 +7,13 @@
 import time
 from pathlib import Path
 
-from standins import ANSWER, SLACK_S, Board, Caller, Platform, Record, Server, play, trouble
+from standins import ANSWER, RELEASE, SLACK_S, Board, Caller, Platform, Record, Server, play, trouble
 
-ROUNDS = 4
-USUAL_CALLS = 10  # of each caller before
-LEFT_MS = 3600  # 40 % of the class's 9 s: a try is given up after 30 to 40 % of it
-ANSWER_AFTER_S = 1.7  # wait at the servers' processors; they turn set-ups away from 2.3 s on
-SILENCE_S = 3.2  # of the caller, between the two pieces of its second set-up
+ROUNDS = 3
+LEFT_MS = 3600
+ANSWER_AFTER_S = 0.6  # wait at the servers' processors
 SLACK_MS = 20.0  # rules.answer_slack_ms
+BAD_HOST = "127.0.0.2"
 
 
 async def case(record: Record, platform: Platform) -> list[str]:
@@ -28,54 +27,67 @@
     platform.start()
     await platform.ready()
     await asyncio.sleep(1.0)
+    caller = Caller("caller", record)
+    await caller.connect(platform.port)
     broken = []
     for at in range(ROUNDS):
-        broken += await one_round(at, record, platform, servers)
+        broken += await open_call(bytes((0xA0, at, *b"review")), caller, record, platform, servers)
+        broken += await standing_call(bytes((0xB0, at, *b"review")), caller, record, platform, servers)
     return broken
 
 
-async def one_round(at: int, record: Record, platform: Platform, servers: list[Server]) -> list[str]:
-    """One caller: calls that stand and end, then the open set-up, then the one in two pieces."""
-    caller = Caller(f"caller-{at}", record)
-    await caller.connect(platform.port)
-    waiting, pieces = (bytes((0xB0 + kind, at, *b"review")) for kind in range(2))
-    for server in servers:
-        server.delay, server.hold = 0.03, 30.0
-    for number in range(USUAL_CALLS):
-        usual = bytes((0xA0, at, number, *b"usual"))
-        await caller.offer(usual, LEFT_MS, first_choice=number % 2)
-        if not await caller.wait(usual, 1, time.time() + 5.0):
-            return [f"round {at}: the usual call {usual.hex()} got no answer"]
-        await caller.release(usual)
-        await asyncio.sleep(0.25)
+async def bad_client(call: bytes, record: Record, platform: Platform) -> None:
+    """Send a set-up under that id, with another description, and withdraw it at once."""
+    client = Caller("bad-client", record)
+    await client.connect(platform.port, BAD_HOST)
+    own = call if trouble() else b"\xbb" + call[1:]
+    data = client.set_up(own, LEFT_MS, description=b"another description") + client.give_up(own)
+    await client.write(data, f"set-up {own.hex()} and its withdrawal")
+    await asyncio.sleep(0.3)
+    client.close()
 
-    for server in servers:
-        server.delay = ANSWER_AFTER_S
-    await caller.offer(waiting, LEFT_MS)
-    await asyncio.sleep(0.05)
-    second = caller.set_up(pieces, LEFT_MS, first_choice=1)
-    half = len(second) // 2 if trouble() else 0
-    if half:
-        await caller.write(second[:half], f"first half of set-up {pieces.hex()}, then nothing")
-    await asyncio.sleep(SILENCE_S)
-    await caller.write(second[half:], f"rest of set-up {pieces.hex()}")
 
-    due = caller.sent[waiting] + (LEFT_MS + SLACK_MS) / 1000.0 + SLACK_S
-    await caller.wait(waiting, 1, due)
-    await caller.wait(pieces, 1, time.time() + 4.0)
-    rows = caller.final(waiting)
-    broken = []
+async def open_call(
+    call: bytes, caller: Caller, record: Record, platform: Platform, servers: list[Server]
+) -> list[str]:
+    """The bad client sends the id of a call that waits for its answer."""
+    for server in servers:
+        server.delay, server.hold = ANSWER_AFTER_S, 30.0
+    await caller.offer(call, LEFT_MS)
+    await asyncio.sleep(0.2)
+    await bad_client(call, record, platform)
+    due = caller.sent[call] + (LEFT_MS + SLACK_MS) / 1000.0 + SLACK_S
+    await caller.wait(call, 1, due)
+    rows = caller.final(call)
     if not rows or rows[0][0] > due:
-        end = caller.closed_at
-        ended = "" if end is None else f", the connection ended {end - caller.sent[waiting]:.2f} s after it"
-        broken.append(f"round {at}: call {waiting.hex()} was taken and got no final answer in time{ended}")
-    elif rows[0][1] == ANSWER:
-        await caller.release(waiting)
-    if caller.closed_at is None and caller.final(pieces):
-        await caller.release(pieces)
+        return [f"call {call.hex()} was taken and got no final answer in {LEFT_MS / 1000.0:.1f} s"]
+    if rows[0][1] == ANSWER:
+        await caller.release(call)
+    return []
+
+
+async def standing_call(
+    call: bytes, caller: Caller, record: Record, platform: Platform, servers: list[Server]
+) -> list[str]:
+    """The bad client sends the id of a call that stands."""
+    for server in servers:
+        server.delay, server.hold = 0.03, 4.0
+    await caller.offer(call, LEFT_MS)
+    await caller.wait(call, 1, time.time() + 4.0)
+    if not caller.final(call) or caller.final(call)[0][1] != ANSWER:
+        return [f"call {call.hex()} was not answered"]
     await asyncio.sleep(0.2)
-    caller.close()
-    return broken
+    await bad_client(call, record, platform)
+    await caller.wait(call, 2, time.time() + 8.0)
+    ended = servers[0].ended.get(call) or servers[1].ended.get(call)
+    released = [row[0] for row in caller.final(call) if row[1] == RELEASE]
+    if ended is None:
+        return [f"call {call.hex()} has not ended at its server"]
+    if not released or released[0] > ended + 1.0 + SLACK_S:
+        return [
+            f"call {call.hex()} was released at its server {time.time() - ended:.1f} s ago, not at its caller"
+        ]
+    return []
 
 
 if __name__ == "__main__":
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -15,6 +15,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -378,9 +379,9 @@
         self.closed_at: float | None = None
         self.arrived = asyncio.Event()
 
-    async def connect(self, port: int) -> None:
-        """Connect to the proxy."""
-        self.reader, self.writer = await asyncio.open_connection(HOST, port)
+    async def connect(self, port: int, host: str = HOST) -> None:
+        """Connect to the proxy, from the address ``host``."""
+        self.reader, self.writer = await asyncio.open_connection(HOST, port, local_addr=(host, 0))
         self.task = asyncio.create_task(self._read())
 
     async def _read(self) -> None:
@@ -401,12 +402,13 @@
         self.writer.close()
         self.arrived.set()
 
-    def set_up(self, call: bytes, left: int, first_choice: int = 0) -> bytes:
+    def set_up(self, call: bytes, left: int, first_choice: int = 0, description: bytes = b"") -> bytes:
         """Return the bytes of a set-up."""
         tenant = {TENANT: self.tenant.encode()} if self.tenant else {}
         parameters = tenant | {
             CLASS: self.kind.encode(), LEFT: str(left).encode(), NUMBER: call.hex().encode(),
-            FIGURES: f"dest:{first_choice};width:1;via:-1".encode(), DESCRIPTION: b"call " + call,
+            FIGURES: f"dest:{first_choice};width:1;via:-1".encode(),
+            DESCRIPTION: description or b"call " + call,
         }  # fmt: skip
         return encode(SET_UP, call, parameters)
 
@@ -424,7 +426,11 @@
 
     async def release(self, call: bytes) -> None:
         """Release a call that stands, or give one up."""
-        await self.write(encode(RELEASE, call, {CAUSE: b"\x10"}), f"release {call.hex()}")
+        await self.write(self.give_up(call), f"release {call.hex()}")
+
+    def give_up(self, call: bytes) -> bytes:
+        """Return the bytes that give a set-up up or release a call that stands."""
+        return encode(RELEASE, call, {CAUSE: b"\x10"})
 
     def final(self, call: bytes) -> list[tuple[float, int, int, bytes]]:
         """Return the answers and releases that came for the call."""
@@ -541,6 +547,7 @@
     """Run a case, which returns what was broken; return the exit code of its script."""
     record = Record(folder / "record.txt")
     platform = Platform(record)
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))  # ends what was started, too
 
     async def limited() -> list[str]:
         # What the end of the run cancels is no news.
