--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,5 @@
 # Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 test -x .venv/bin/python || { echo "no .venv: run the build of the deploy file first"; exit 2; }
-PYTHONPATH=review/lib exec .venv/bin/python -B review/1/case.py
+export PYTHONPATH=review/lib
+exec .venv/bin/python -B review/1/case.py
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -486,7 +486,11 @@
 
     def start(self) -> subprocess.Popen[bytes]:
         """Start the program."""
-        environment = {key: value for key, value in os.environ.items() if not key.startswith("PROXY_")}
+        environment = {
+            key: value
+            for key, value in os.environ.items()
+            if not key.startswith("PROXY_") and key != "PYTHONPATH"
+        }
         environment |= {
             "PROXY_CONFIG": str(self.config), "PROXY_NAME": self.name,
             "PROXY_LISTEN": f"{HOST}:{self.port}", "TMPDIR": str(self.temporary),
