--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -26,12 +26,11 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 SET_UP, ANSWER, RELEASE, HEARD, STATE, TEST, TESTED = 1, 9, 12, 16, 43, 52, 53
-CLASS, LEFT, TENANT, NUMBER, FIGURES = 129, 131, 133, 137, 139
+CLASS, LEFT, NUMBER, FIGURES = 129, 131, 137, 139
 REPORT, CAUSE, DESCRIPTION = 147, 157, 159
-READY, DRAINING, GONE = 0, 1, 2
 SLACK_S = 0.05  # "every time limit is 50 ms longer"
 
-# What the pages of the two sites say: classes as (name, worth, aim, deadline, late share), and what differs.
+# What the site's pages say; classes as (name, worth, aim, deadline, late share).
 SITES: dict[str, dict[str, Any]] = {
     "sofia-signing": {
         "classes": (
@@ -43,14 +42,6 @@
         "attempts": 5, "release": 200.0, "repeat": 800.0, "grace": 2000.0, "multiple": 2.0, "cold": 0.31,
         "fields": ["spare", "total", "cut_by"], "over": 0.1, "peers": False, "wait": False, "marks": False,
     },
-    "kigali-rubavu": {
-        "classes": (("confirm-call", 1.0, 1500.0, 9000.0, 0.25),),
-        "holds": [9000.0], "zones": ["kigali", "rubavu"],
-        "tenants": (("nyungwe-agro", 0.5), ("karisimbi-build", 0.25), ("umucyo-pharma", 0.25)),
-        "attempts": 4, "release": 300.0, "repeat": 400.0, "grace": 500.0, "multiple": 3.0, "cold": 0.32,
-        "fields": ["spare", "total", "cut_by", "mean_ms"], "over": 0.2, "peers": True, "wait": True,
-        "marks": True,
-    },
 }  # fmt: skip
 
 
@@ -136,16 +127,12 @@
 
 
 class Board:
-    """The notice board. ``events[n]`` is event n + 1, of records (server's number, port, state, started).
-
-    With ``piece_bytes`` above 0, each event is written in pieces of so many bytes, one each ``piece_gap`` s.
-    """
+    """The notice board. ``events[n]`` is event n + 1, of records (server's number, port, state, started)."""
 
     def __init__(self, record: Record) -> None:
         self.record = record
         self.events: list[list[tuple[int, int, int, int]]] = []
         self.changed = asyncio.Event()
-        self.piece_bytes, self.piece_gap = 0, 0.0
         self.port = 0
         self.server: asyncio.Server | None = None
 
@@ -169,7 +156,8 @@
             while not ended.done():
                 if last < len(self.events):
                     last += 1
-                    await self._write(writer, self._event(last))
+                    writer.write(self._event(last))
+                    await writer.drain()
                     self.record.note("board", f"event {last} written whole")
                     continue
                 writer.write(struct.pack(">IQB", 9, last, 0))
@@ -189,14 +177,6 @@
         )
         return struct.pack(">IQB", 9 + len(rows), number, 2) + rows
 
-    async def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
-        step = self.piece_bytes or len(data)
-        for at in range(0, len(data), step):
-            if at:
-                await asyncio.sleep(self.piece_gap)
-            writer.write(data[at : at + step])
-            await writer.drain()
-
 
 class Server:
     """A session server that answers each set-up after ``delay`` s and holds each call ``hold`` s.
@@ -209,7 +189,6 @@
     def __init__(self, number: int, record: Record) -> None:
         self.number, self.record, self.who = number, record, f"server-{number}"
         self.delay, self.hold, self.piece_gap = 0.02, 5.0, 0.0
-        self.vanished = self.replaced = False
         self.port = 0
         self.server: asyncio.Server | None = None
         self.outgoing: dict[asyncio.StreamWriter, asyncio.Queue[bytes]] = {}
@@ -245,8 +224,6 @@
 
     def send(self, writer: asyncio.StreamWriter, data: bytes, text: str) -> None:
         """Queue one message on a connection."""
-        if self.vanished:
-            return
         self.record.note(self.who, f"sends {text}")
         if writer in self.outgoing:
             self.outgoing[writer].put_nowait(data)
@@ -275,12 +252,6 @@
         buffer = bytearray()
         with contextlib.suppress(OSError):
             while data := await reader.read(65536):
-                if self.replaced:  # the machine that has the address now knows no such connection
-                    self.record.note(self.who, "old connection reset by the new machine")
-                    reset(writer)
-                    break
-                if self.vanished:
-                    continue
                 buffer += data
                 for kind, call, parameters in take_messages(buffer):
                     self._received(writer, kind, call, parameters)
@@ -334,46 +305,12 @@
             writer = next(iter(self.outgoing), writer)
         self.send(writer, release, f"release {call.hex()}")
 
-    def stop(self) -> None:
-        """End the process: its connections are reset and its calls are cut."""
-        if self.server is not None:
-            self.server.close()
-        self._end_calls()
-        for writer in list(self.outgoing):
-            reset(writer)
-
-    def vanish(self) -> None:
-        """Let the machine vanish: its calls are over, its connections stay open and silent."""
-        self.record.note(self.who, f"vanishes, with it {len(self.standing)} calls")
-        self._end_calls()
-        self.vanished = True
-
-    async def replace(self, other: Server) -> None:
-        """Let a machine with another session server take the address of the one that vanished."""
-        assert self.server is not None
-        other.port, self.replaced = self.port, True
-        self.server.close()
-        await other.start()
-        self.record.note(other.who, f"listens at the address of {self.who}")
-
-    def _end_calls(self) -> None:
-        for call in list(self.standing):
-            del self.standing[call]
-            self.ended[call] = time.time()
-
-
-def reset(writer: asyncio.StreamWriter) -> None:
-    """Reset a connection."""
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
 
 class Caller:
     """One connection of a caller; ``got`` holds what came for each call, with its time (Unix s)."""
 
-    def __init__(self, name: str, record: Record, kind: str = "status-check", tenant: str = "") -> None:
-        self.name, self.record, self.kind, self.tenant = name, record, kind, tenant
+    def __init__(self, name: str, record: Record, kind: str = "status-check") -> None:
+        self.name, self.record, self.kind = name, record, kind
         self.got: dict[bytes, list[tuple[float, int, int, bytes]]] = {}
         self.sent: dict[bytes, float] = {}
         self.closed_at: float | None = None
@@ -404,8 +341,7 @@
 
     def set_up(self, call: bytes, left: int, first_choice: int = 0, description: bytes = b"") -> bytes:
         """Return the bytes of a set-up."""
-        tenant = {TENANT: self.tenant.encode()} if self.tenant else {}
-        parameters = tenant | {
+        parameters = {
             CLASS: self.kind.encode(), LEFT: str(left).encode(), NUMBER: call.hex().encode(),
             FIGURES: f"dest:{first_choice};width:1;via:-1".encode(),
             DESCRIPTION: description or b"call " + call,
