--- a/review/3/case.py
+++ b/review/3/case.py
@@ -31,7 +31,7 @@
 
 async def case(record: Record, platform: Platform) -> list[str]:
     """Set the calls up, then let the first server write in pieces; return what was broken."""
-    board, servers = Board(record), [Server(0, record), Server(1, record)]
+    board, servers = Board(record), [Server(at, record) for at in range(3)]
     await board.start()
     board.tell()  # event 1 is the list of the configuration
     for server in servers:
@@ -63,7 +63,7 @@
         await asyncio.sleep(0.1)
     broken = []
     for call in stood:
-        ended = servers[0].ended.get(call) or servers[1].ended.get(call)
+        ended = next((server.ended[call] for server in servers if call in server.ended), None)
         released = [row[0] for row in caller.final(call) if row[1] == RELEASE]
         if ended is None:
             raise CannotRun(f"call {call.hex()} has not ended at its server")
