End a call at its own caller's withdrawal only, whoever else sends the id

The other client's open call gets no final message, a standing one is ended at the server and never released to its client.

Cause: GiveUp and ReleaseIn named a call by its id alone. The second offer is turned down, but its host still has a record of it until the refusal comes back and passes the withdrawal on; the dispatcher ended whatever call had the id. The count of withdrawals in the mailbox and the handling of internal errors went by the id alone as well, and behind one address the withdrawal read together with the duplicate set-up was processed after its connection had been closed.

Ruled out: the refusal itself and the id's record at the host are right; a host without a record sends nothing.

Change: both items name their caller; the dispatcher applies them, counts them and handles errors about them only for a call that this caller offered. Input after a duplicate set-up is dropped. It works because the caller object is the host's actor, which nobody else can present.

--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -218,7 +218,7 @@
             case CallerLeftAtSuccessor(call):
                 record = self.records.pop(call, None)
                 if record is not None:
-                    self.notify_dispatcher(ReleaseIn(call) if record.stands else GiveUp(call))
+                    self.notify_dispatcher(ReleaseIn(call, self) if record.stands else GiveUp(call, self))
             case PredecessorGone():
                 self._predecessor_gone()
             case SuccessorGone():
@@ -273,6 +273,9 @@
 
     def _received(self, item: Received) -> None:
         link, message = item.link, item.message
+        if link.close_reason is CloseReason.DUPLICATE_ID:
+            # What follows a set-up under an id in use is about that set-up, not about the other call.
+            return
         match message.type:
             case Type.SET_UP:
                 self._set_up(link, message, item.received_at)
@@ -347,7 +350,7 @@
         """Notify the owner of the call, dispatcher or predecessor, that the caller gave it up or ended it."""
         CALL_TRACE.step(call, CallStep.CALLER_LEFT, stands=record.stands, foreign=record.predecessor_owned)
         if not record.predecessor_owned:
-            self.notify_dispatcher(ReleaseIn(call) if record.stands else GiveUp(call))
+            self.notify_dispatcher(ReleaseIn(call, self) if record.stands else GiveUp(call, self))
         elif self.client_connections.predecessor is not None:
             self.client_connections.predecessor(Left(self.host, call))
 
--- a/martentide/net/dispatcher.py
+++ b/martentide/net/dispatcher.py
@@ -118,16 +118,18 @@
 
 @dataclass(frozen=True, slots=True)
 class GiveUp:
-    """The caller no longer waits for the answer and gets none."""
+    """The caller no longer waits for the answer and gets none; ends only a call that ``caller`` offered."""
 
     call: bytes
+    caller: Caller
 
 
 @dataclass(frozen=True, slots=True)
 class ReleaseIn:
-    """The caller releases a standing call."""
+    """The caller releases a standing call; ends only a call that ``caller`` offered."""
 
     call: bytes
+    caller: Caller
 
 
 # ---- session servers ------------------------------------------------------------------------------------
@@ -231,7 +233,7 @@
     def check_presence(self) -> Presence:
         """Return whether the caller still waits for the call."""
         offer = self.call.offer
-        if self.call.closed or self.dispatcher.pending_departures[offer.call]:
+        if self.call.closed or self.dispatcher.pending_departures[offer.caller, offer.call]:
             return Presence.LEFT
         return Presence.PRESENT if offer.client is None else offer.client.check_presence()
 
@@ -258,8 +260,8 @@
         self.refs = itertools.count(1)
         self.calls: dict[int, Call] = {}
         self.by_id: dict[bytes, Call] = {}
-        # By call id: GiveUp and ReleaseIn items that wait in the mailbox.
-        self.pending_departures: Counter[bytes] = Counter()
+        # By caller and call id: GiveUp and ReleaseIn items that wait in the mailbox.
+        self.pending_departures: Counter[tuple[Caller, bytes]] = Counter()
         self.open_calls = 0  # offered and neither answered nor standing
         self.recently_answered: OrderedDict[bytes, int] = OrderedDict()  # call id to id() of its caller
         self.listed: dict[str, Listed] = {}
@@ -281,7 +283,7 @@
     def post(self, item: Item) -> None:
         """Put an item into the dispatcher's mailbox."""
         if isinstance(item, GiveUp | ReleaseIn):
-            self.pending_departures[item.call] += 1
+            self.pending_departures[item.caller, item.call] += 1
         self.mailbox.put_nowait(item)
 
     async def run(self) -> None:
@@ -308,8 +310,8 @@
         match item:
             case Offer():
                 self._offer(item)
-            case GiveUp(call_id) | ReleaseIn(call_id):
-                self._caller_left(call_id)
+            case GiveUp() | ReleaseIn():
+                self._caller_left(item)
             case ClientLeft(ref):
                 self._client_gone(ref)
             case InputProcessed():
@@ -485,23 +487,32 @@
         self.call_being_decided = offer.call
         self._feed(SetUpOffered(call.ref, name, None, number, time_left, offer.first_choice, False, False))
 
-    def _caller_left(self, call_id: bytes) -> None:
-        self.pending_departures[call_id] -= 1
-        if not self.pending_departures[call_id]:
-            del self.pending_departures[call_id]
-        self._end_by_caller(call_id)
+    def _caller_left(self, item: GiveUp | ReleaseIn) -> None:
+        key = (item.caller, item.call)
+        self.pending_departures[key] -= 1
+        if not self.pending_departures[key]:
+            del self.pending_departures[key]
+        if (call := self._call_of(item)) is not None:
+            self._end_by_caller(call)
+
+    def _call_of(self, item: Offer | GiveUp | ReleaseIn) -> Call | None:
+        """Return the call that the item's sender offered under the id and that is not closed.
+
+        An id does not prove whose call it is: another caller may send the id of a call that is not its own.
+        """
+        call = self.by_id.get(item.call)
+        return call if call is not None and call.offer.caller is item.caller else None
 
     def _client_gone(self, ref: int) -> None:
-        if (call := self.calls.get(ref)) is not None and not call.closed:
-            self._end_by_caller(call.offer.call)
+        if (call := self.calls.get(ref)) is not None:
+            self._end_by_caller(call)
 
-    def _end_by_caller(self, call_id: bytes) -> None:
-        call = self.by_id.get(call_id)
-        if call is None or call.closed:
+    def _end_by_caller(self, call: Call) -> None:
+        if call.closed:
             return
         self._close_call(call)
         if call.current_attempt is not None and call.current_carrier is not None:
-            call.current_carrier.post(Withdraw(call.ref, call.current_attempt, call_id, hang_up=True))
+            call.current_carrier.post(Withdraw(call.ref, call.current_attempt, call.offer.call, hang_up=True))
         if not call.stands:
             self._feed(CallerGone(call.ref))
 
@@ -511,7 +522,7 @@
         if call is None or call.closed or call.stands:
             return
         log_event("overdue", call=call.offer.call.hex(), attempts=call.attempts)
-        self._end_by_caller(call.offer.call)
+        self._end_by_caller(call)
         call.offer.caller.fail(call.offer.call)
 
     def _close_call(self, call: Call, answered: bool = False) -> None:
@@ -529,7 +540,7 @@
 
     def _fail_call_after_error(self, item: Item) -> None:
         ref = getattr(item, "ref", None)
-        call = self.by_id.get(item.call) if isinstance(item, Offer | GiveUp | ReleaseIn) else None
+        call = self._call_of(item) if isinstance(item, Offer | GiveUp | ReleaseIn) else None
         call = call or (self.calls.get(ref) if isinstance(ref, int) else None)
         if call is None or call.closed or call.stands:
             return
--- a/martentide/net/extproc/front.py
+++ b/martentide/net/extproc/front.py
@@ -163,7 +163,7 @@
                     )
                 )
             case CallClosed(key):
-                self.dispatcher.post(GiveUp(call_id(key)))
+                self.dispatcher.post(GiveUp(call_id(key), self))
             case Stood() | Ended():
                 self.dispatcher.post(effect)
 
--- a/tests/net/test_dispatcher.py
+++ b/tests/net/test_dispatcher.py
@@ -9,10 +9,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from martentide.attempt_messages import Ended, InputProcessed, Order, Stood, Withdraw
+import pytest
+
+from martentide.attempt_messages import Ended, InputProcessed, Order, Presence, Stood, Withdraw
 from martentide.codec.discovery import Listed, Notice
 from martentide.interface import Action, CancelAttempt, Ending, Event, SetTimer, SetUpOffered, Stands
-from martentide.net.dispatcher import ApplySettings, Dispatcher, GiveUp, Offer, Probing
+from martentide.net.dispatcher import ApplySettings, Dispatcher, GiveUp, Offer, Probing, ReleaseIn
 from martentide.rules import Controller
 from martentide.settings import settings_from
 from tests.net.support import SETTINGS
@@ -126,7 +128,7 @@
 
 def test_an_answer_crossing_the_callers_give_up_reaches_nobody() -> None:
     def script(dispatcher: Dispatcher, peer: RecordingPeer) -> None:
-        for item in (offer(peer), GiveUp(CALL), stood(), ended(Ending.CANCELLED)):
+        for item in (offer(peer), GiveUp(CALL, peer), stood(), ended(Ending.CANCELLED)):
             dispatcher.post(item)
 
     dispatcher, peer = run_script(script)
@@ -159,11 +161,63 @@
     assert other.notifications == [("refuse", CALL), ("answer", CALL, b"good")]
 
 
+@pytest.mark.parametrize("item_type", [GiveUp, ReleaseIn])
+@pytest.mark.parametrize("standing", [False, True])
+def test_another_callers_withdrawal_of_an_id_does_not_end_the_call(
+    item_type: type[GiveUp] | type[ReleaseIn], standing: bool
+) -> None:
+    """Guards against a call that gets no final message because another caller withdrew the same id."""
+    other = RecordingPeer()
+
+    def script(dispatcher: Dispatcher, peer: RecordingPeer) -> None:
+        before, after = ([stood()], []) if standing else ([], [stood()])
+        for item in (offer(peer), *before, offer(other), item_type(CALL, other), *after):
+            dispatcher.post(item)
+        dispatcher.post(ended(Ending.DELIVERED))
+
+    dispatcher, peer = run_script(script)
+    assert peer.notifications == [("answer", CALL, b"good"), ("release", CALL, False)]
+    assert not any(isinstance(item, Withdraw) for item in peer.items)
+    assert not dispatcher.calls and not dispatcher.pending_departures
+
+
+def test_another_callers_withdrawal_in_the_mailbox_does_not_prevent_an_attempt() -> None:
+    """Guards against an attempt that never begins because another caller's give-up counts as this one's."""
+    other = RecordingPeer()
+
+    def script(dispatcher: Dispatcher, peer: RecordingPeer) -> None:
+        dispatcher._offer(offer(peer))
+        order = peer.items[-1]
+        assert isinstance(order, Order) and order.client is not None
+        dispatcher.post(GiveUp(CALL, other))
+        assert order.client.check_presence() is Presence.PRESENT
+        dispatcher.post(GiveUp(CALL, peer))
+        assert order.client.check_presence() is Presence.LEFT
+
+    run_script(script)
+
+
+def test_an_error_about_another_callers_offer_does_not_fail_the_call() -> None:
+    """Guards against a call that fails because an offer of the same id by another caller met an error."""
+    other = RecordingPeer()
+
+    def script(dispatcher: Dispatcher, peer: RecordingPeer) -> None:
+        dispatcher.post(offer(peer))
+        dispatcher.post(offer(other))
+
+        def refuse(call: bytes, hold_off: float) -> None:
+            raise RuntimeError("error in the front end")
+
+        other.refuse = refuse  # type: ignore[method-assign]
+
+    assert run_script(script)[1].notifications == []
+
+
 def test_call_offered_again_after_a_give_up_is_answered() -> None:
     """A caller that repeats a set-up after its connection broke must get an answer."""
 
     def script(dispatcher: Dispatcher, peer: RecordingPeer) -> None:
-        for item in (offer(peer), GiveUp(CALL), ended(Ending.CANCELLED), offer(peer)):
+        for item in (offer(peer), GiveUp(CALL, peer), ended(Ending.CANCELLED), offer(peer)):
             dispatcher.post(item)
         dispatcher.post(Stood(2, 0, "s-1", 20.0, b"good"))
 
--- a/tests/net/test_rules_on_sockets.py
+++ b/tests/net/test_rules_on_sockets.py
@@ -269,6 +269,32 @@
         assert server.receive(Type.RELEASE).call == A
 
 
+@pytest.mark.parametrize("host", ["127.0.0.1", "127.0.0.2"])
+@pytest.mark.parametrize("standing", [False, True])
+def test_a_withdrawn_set_up_under_an_id_in_use_leaves_the_call_alone(
+    tmp_path: Path, host: str, standing: bool
+) -> None:
+    """Guards against calls without a final message once another client has sent and withdrawn their id."""
+    with Program(tmp_path) as program:
+        caller, server, bad = program.caller(), program.servers[0].accept(), program.caller(host)
+        if standing:
+            set_up_call(caller, server)
+        else:
+            caller.set_up(A)
+            assert server.receive(Type.SET_UP).call == A
+        bad.sock.sendall(bad.set_up_bytes(A) + write_release(A, 16))
+        if host == "127.0.0.1":
+            assert bad.closed()
+        else:
+            assert bad.receive(Type.RELEASE_ACK).call == A
+        set_up_call(caller, server, B)  # the withdrawal has been processed by now
+        if not standing:
+            server.send(Type.ANSWER, A, {Code.DESCRIPTION: DESCRIPTION})
+            assert caller.receive(Type.ANSWER).call == A
+        server.release(A, 16)
+        assert (released := caller.receive(Type.RELEASE)).call == A and released.cause() == 16
+
+
 def test_standing_call_survives_an_idle_close_and_is_released_on_the_next_connection(tmp_path: Path) -> None:
     with Program(tmp_path) as program:
         caller, server = program.caller(), program.servers[0].accept()
