Keep a connection with an open set-up though a message on it is incomplete

Cause: Link ended the connection by itself when a message was not whole in time. Whether a set-up is open on it is known to ClientConnections, which was not asked. Ruled out: dropping the limit (nothing behind an incomplete message can be read, and idle connections would hold descriptors), and a longer one (any pause longer than it would do the same).

Change: Link posts Stalled and reads on; the owner decides. The callers' front closes at once if no set-up is open, else after the last one has its final message; the wait ends with their deadlines, as nothing behind the incomplete message can be read. The session servers' actor closes as before. The items of an upgrade have a method of their own in CallingHost.

Before the fix test_an_incomplete_message_closes_no_connection_with_an_open_ set_up failed: the connection ended in place of the answer.

--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -30,7 +30,7 @@
 from martentide.net.close_reason import LOG, CloseReason, log_event, logged_name
 from martentide.net.config import Address
 from martentide.net.dispatcher import GiveUp, Offer, ReleaseIn, time_for_answer
-from martentide.net.links import Link, LinkEnded, Received
+from martentide.net.links import Link, LinkEnded, Received, Stalled
 from martentide.net.listeners import bind_socket
 
 MAX_PENDING_RELEASES = 20_000  # releases kept for a calling host that has no connection
@@ -137,19 +137,8 @@
     LOG_NAME: ClassVar[str] = "Deserted"
 
 
-Item = (
-    Opened
-    | Received
-    | LinkEnded
-    | MessageToCaller
-    | PendingReleaseExpired
-    | MoveOut
-    | MoveLink
-    | MoveIn
-    | CallerLeftAtSuccessor
-    | PredecessorGone
-    | SuccessorGone
-)
+UpgradeItem = MoveOut | MoveLink | MoveIn | CallerLeftAtSuccessor | PredecessorGone | SuccessorGone
+Item = Opened | Received | Stalled | LinkEnded | MessageToCaller | PendingReleaseExpired | UpgradeItem
 
 
 class CallingHost:
@@ -207,8 +196,18 @@
                 self._deliver(item)
             case Opened(link):
                 self._opened(link)
+            case Stalled(link):
+                self.client_connections.close_if_stalled(link)
             case LinkEnded(link):
                 self._link_ended(link)
+            case PendingReleaseExpired(call):
+                if self.pending_releases.pop(call, None) is not None:
+                    log_event("release-not-delivered", party=self.host, call=call.hex())
+            case _:
+                self._handle_upgrade(item)
+
+    def _handle_upgrade(self, item: UpgradeItem) -> None:
+        match item:
             case MoveOut():
                 self._move_out()
             case MoveLink():
@@ -223,9 +222,6 @@
                 self._predecessor_gone()
             case SuccessorGone():
                 self._successor_gone()
-            case PendingReleaseExpired(call):
-                if self.pending_releases.pop(call, None) is not None:
-                    log_event("release-not-delivered", party=self.host, call=call.hex())
 
     # ---- connections ------------------------------------------------------------------------------------
 
--- a/martentide/net/client_connections.py
+++ b/martentide/net/client_connections.py
@@ -119,6 +119,9 @@
         """Count a set-up that is no longer open; ``answered``: the caller got a final message for it."""
         if link in self.open_set_ups:
             self.open_set_ups[link] -= 1
+            if link.stalled:
+                # Only after the final message, which is about to be written, may the connection close.
+                self.loop.call_soon(self.close_if_stalled, link)
             if answered:
                 self.mark_answered(link)
             elif self.open_set_ups[link] == 0 and link not in self.mute:
@@ -143,6 +146,18 @@
         if self.draining:
             self.loop.call_soon(self._close_if_drained, link)
 
+    def close_if_stalled(self, link: Link) -> None:
+        """Close a connection with an incomplete message that took too long, unless a set-up on it is open.
+
+        An open set-up's caller may only be answered on its connection, so the connection is kept until the
+        last one has its final message. The wait is bounded by their deadlines: behind the incomplete message
+        no further set-up can be read. The rest of the message may arrive meanwhile and ends the stall.
+        """
+        if not link.stalled or not link.alive or link.unprocessed or self.open_set_ups.get(link):
+            return
+        self.remove(link)
+        link.close(CloseReason.STALLED)
+
     def set_draining(self, on: bool) -> None:
         """Start or end a drain, during which connections are closed as soon as they are idle."""
         self.draining = on
--- a/martentide/net/links.py
+++ b/martentide/net/links.py
@@ -40,6 +40,13 @@
     received_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Stalled:
+    """A message was not complete in time; the owner of the connection decides what follows."""
+
+    link: Link
+
+
 @dataclass(frozen=True, slots=True)
 class LinkEnded:
     """A connection has ended; no further message is posted for it."""
@@ -51,8 +58,10 @@
 class Link:
     """Reads complete messages, writes without blocking, and ends once, with one reason and one log line.
 
-    A message must be complete within ``message_timeout`` s. ``partial_message`` holds the bytes of a message
-    that another process has already read. Also implements attempt_messages.Client for callers' connections.
+    A message should be complete within ``message_timeout`` s. If one is not, ``Stalled`` is posted once for
+    it, and the connection is read on until its owner closes it. ``partial_message`` holds the bytes of a
+    message that another process has already read. Also implements attempt_messages.Client for callers'
+    connections.
     """
 
     def __init__(
@@ -60,7 +69,7 @@
         role: str,
         peer: str,
         streams: tuple[asyncio.StreamReader, asyncio.StreamWriter],
-        post: Callable[[Received | LinkEnded], None],
+        post: Callable[[Received | Stalled | LinkEnded], None],
         message_timeout: float,
         partial_message: bytes = b"",
     ) -> None:
@@ -72,6 +81,7 @@
         self.read_credit = asyncio.Semaphore(MAX_UNPROCESSED)
         self.partial_message = bytearray(partial_message)  # bytes of an incomplete message
         self.read_bytes = len(self.partial_message)
+        self.stalled = False  # whether ``partial_message`` was not complete in time
         self.splitting = False  # whether ``partial_message`` may hold complete messages
         self.message_ends: deque[int] = deque()  # byte offsets of the ends of unprocessed messages
         self.processed_bytes = 0
@@ -84,20 +94,26 @@
         self.task.add_done_callback(self._read_loop_ended)
 
     async def _read(self, begun_at: float | None) -> bytes:
-        """Read the next bytes; raises TimeoutError if a message takes longer than ``message_timeout`` s.
+        """Read the next bytes; post ``Stalled`` if a message takes longer than ``message_timeout`` s.
 
         This detects incomplete messages, behind which nothing on the connection can be read, and endless
         ones. The short second read is for the case that this process was held up and the bytes are already
         there.
         """
-        if begun_at is None:
+        if begun_at is None or self.stalled:
             return await self.reader.read(MAX_MESSAGE_BYTES)
         try:
             async with asyncio.timeout_at(begun_at + self.message_timeout):
                 return await self.reader.read(MAX_MESSAGE_BYTES)
         except TimeoutError:
+            pass
+        try:
             async with asyncio.timeout(STALL_RECHECK):
                 return await self.reader.read(MAX_MESSAGE_BYTES)
+        except TimeoutError:
+            self.stalled = True
+            self.post(Stalled(self))
+        return await self.reader.read(MAX_MESSAGE_BYTES)
 
     async def _read_loop(self) -> None:
         """Read until the connection ends, and store the reason for ``_read_loop_ended``."""
@@ -105,8 +121,6 @@
         try:
             await self._post_messages()
             self.read_loop_reason = CloseReason.TRUNCATED if self.partial_message else CloseReason.PEER_CLOSED
-        except TimeoutError:
-            self.read_loop_reason = CloseReason.STALLED
         except CodecError as error:
             self.read_loop_reason, self.read_loop_detail = CloseReason.MALFORMED, str(error)
         except (ConnectionResetError, BrokenPipeError):
@@ -128,7 +142,7 @@
             self.read_bytes += len(data)
             self.splitting = True
             for body in split(partial):
-                self.last_received_at, begun_at = now, None
+                self.last_received_at, begun_at, self.stalled = now, None, False
                 message = read_message(body)
                 self.message_ends.append(self.read_bytes - len(partial))
                 await self.read_credit.acquire()
--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -24,7 +24,7 @@
 from martentide.net.call_trace import CALL_TRACE, CallStep
 from martentide.net.close_reason import LOG, CloseReason, log_connection_closed, logged_name
 from martentide.net.dispatcher import ApplySettings, Probing
-from martentide.net.links import Link, LinkEnded, Received, unix_ms
+from martentide.net.links import Link, LinkEnded, Received, Stalled, unix_ms
 
 MAX_CONNECTIONS = 4  # to one server, which sends its group state on at most this many
 HEALTH_CHECK_TIMEOUT = 0.25  # s
@@ -148,6 +148,7 @@
     | Listed
     | ApplySettings
     | Received
+    | Stalled
     | LinkEnded
     | Dialled
     | Timer
@@ -225,6 +226,8 @@
                 self._received(item.link, item.message)
             case Dialled():
                 self._dialled(item)
+            case Stalled(link):
+                link.close(CloseReason.STALLED)
             case LinkEnded():
                 self._link_ended(item.link, item.reason)
             case Probing():
