Read what a slowly writing server sends, and end calls there in time

The keepalives, which end the calls of a silent server after 6 s, never came due: _dialled set last_received_at and cleared awaiting_since each time. Ruled out: lost releases (the server writes them on every connection), the limit for one release alone (the state before it stalls as well). A server that closes each new connection at once has the same end, by the dial alone.

Change: MessageTimeout (pure) gives a server four times as long after each stall, up to KEEPALIVE_TIMEOUT, at least twice what a message took, and less again after ten whole messages. A stall at the longest limit ends the standing calls that may be ending on that connection, and releases them at the server. A dial alone no longer counts as a sign of life. It works since the connections' lifetimes grow until what is resent fits into one, or the calls are ended, within 8 s; the property test says so for any constant time a message takes.

--- a/martentide/net/links.py
+++ b/martentide/net/links.py
@@ -33,11 +33,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Received:
-    """A complete message was received; its last byte was read at ``received_at`` (Unix ms)."""
+    """A complete message was received; its last byte was read at ``received_at`` (Unix ms).
+
+    ``duration`` is the time in s since its first byte was read.
+    """
 
     link: Link
     message: Message
     received_at: float
+    duration: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,11 +146,12 @@
             self.read_bytes += len(data)
             self.splitting = True
             for body in split(partial):
+                duration = 0.0 if begun_at is None else now - begun_at
                 self.last_received_at, begun_at, self.stalled = now, None, False
                 message = read_message(body)
                 self.message_ends.append(self.read_bytes - len(partial))
                 await self.read_credit.acquire()
-                self.post(Received(self, message, received_at))
+                self.post(Received(self, message, received_at, duration))
             self.splitting = False
             self._notify_processed()
             begun_at = (begun_at or now) if partial else None
--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -25,6 +25,7 @@
 from martentide.net.close_reason import LOG, CloseReason, log_connection_closed, logged_name
 from martentide.net.dispatcher import ApplySettings, Probing
 from martentide.net.links import Link, LinkEnded, Received, Stalled, unix_ms
+from martentide.net.message_timeout import MessageTimeout
 
 MAX_CONNECTIONS = 4  # to one server, which sends its group state on at most this many
 HEALTH_CHECK_TIMEOUT = 0.25  # s
@@ -35,14 +36,15 @@
 KEEPALIVE_IDLE = 3.5
 KEEPALIVE_INTERVAL = 0.5  # s between keepalives
 # s in which a message must be complete once its first byte was received from a server; short enough that
-# the set-up can still be retried elsewhere in time.
-MESSAGE_TIMEOUT = 0.06
+# the set-up can still be retried elsewhere in time. A server that stalls again and again is given longer.
+MIN_MESSAGE_TIMEOUT = 0.06
 # s without a byte on a connection since a set-up was sent on it; after that the connection is suspect, and
 # another one is opened if all are.
 SUSPECT_AFTER = 0.12
 # s; a connection that closed sooner is not replaced at once, so that no server is dialled in a tight loop.
 MIN_CONNECTION_LIFETIME = 0.5
-KEEPALIVE_TIMEOUT = 2.5  # s without a byte since a message was sent before the machine counts as cut off
+# s without a complete message since one was sent, or for one message, before a server counts as cut off.
+KEEPALIVE_TIMEOUT = 2.5
 INPUT_CHECK_VALIDITY = 0.05  # s for which a client's processed input counts as complete before a new check
 MAX_ABANDONED_IDS = 1024  # ids remembered for each connection
 NO_LINES_NOTE = "all_trunks_busy"  # note in a server's refusal
@@ -183,6 +185,7 @@
         self.dial_task: asyncio.Task[None] | None = None
         self.reconnect_timer: asyncio.TimerHandle | None = None
         self.last_received_at = self.loop.time()
+        self.message_timeout = MessageTimeout(MIN_MESSAGE_TIMEOUT, KEEPALIVE_TIMEOUT)
         # Loop time of the first sent message after which no byte was received; None if there is none.
         self.awaiting_since: float | None = None
         self.keepalive_timer = self.loop.call_later(KEEPALIVE_IDLE, self.post, KeepaliveTimerExpired())
@@ -223,11 +226,13 @@
             case InputProcessed():
                 self._input_processed(item)
             case Received():
+                self.message_timeout.message_completed(item.duration)
+                self._apply_message_timeout()
                 self._received(item.link, item.message)
             case Dialled():
                 self._dialled(item)
             case Stalled(link):
-                link.close(CloseReason.STALLED)
+                self._message_stalled(link)
             case LinkEnded():
                 self._link_ended(item.link, item.reason)
             case Probing():
@@ -559,9 +564,7 @@
     def _dialled(self, item: Dialled) -> None:
         self.dial_task = None
         if item.streams is not None:
-            link = Link("server", self.name, item.streams, self.post, MESSAGE_TIMEOUT)
-            if not self.connections:  # beside a silent connection, only received bytes prove a live server
-                self.last_received_at, self.awaiting_since = self.loop.time(), None
+            link = Link("server", self.name, item.streams, self.post, self.message_timeout.seconds)
             if self.listed.entry.state is ServerState.GONE:
                 link.close(CloseReason.SERVER_GONE)
             self.connections.append(ServerConnection(link))
@@ -616,6 +619,35 @@
             else:
                 self._schedule_reconnect()
 
+    def _message_stalled(self, link: Link) -> None:
+        """Close a connection on which a message was not complete in time.
+
+        The server sends the releases that were not read again on the next connection. If they don't arrive
+        there either, however long they may take, the calls are ended here: their callers have to learn of the
+        end in time.
+        """
+        if not link.stalled or not link.alive:
+            return
+        if self.message_timeout.message_stalled():
+            self._end_unreadable_calls(link)
+        self._apply_message_timeout()
+        link.close(CloseReason.STALLED)
+
+    def _apply_message_timeout(self) -> None:
+        for connection in self.connections:
+            connection.link.message_timeout = self.message_timeout.seconds
+
+    def _end_unreadable_calls(self, link: Link) -> None:
+        """End the standing calls whose releases the server may be sending on the connection."""
+        for attempt in [attempt for attempt in self.attempts.values() if attempt.stands]:
+            if attempt.link is None or attempt.link is link or not attempt.link.alive:
+                self._end_standing_here(attempt)
+
+    def _end_standing_here(self, attempt: Attempt) -> None:
+        """End a standing call that the server may still hold: it is released there once possible."""
+        self.pending_releases[attempt.order.call] = write_release(attempt.order.call, Cause.NORMAL)
+        self._end_attempt(attempt, Ending.CUT)
+
     def _cut_standing(self, before: float = math.inf) -> None:
         """End standing calls sent before that time as cut: the process that held them is dead.
 
@@ -640,8 +672,7 @@
         if self.awaiting_since is not None and now - self.awaiting_since >= KEEPALIVE_TIMEOUT:
             self.awaiting_since = None
             for attempt in [attempt for attempt in self.attempts.values() if attempt.stands]:
-                self.pending_releases[attempt.order.call] = write_release(attempt.order.call, Cause.NORMAL)
-                self._end_attempt(attempt, Ending.CUT)
+                self._end_standing_here(attempt)
             for connection in self.connections:
                 connection.link.close(CloseReason.SILENT)
         elif idle_left <= 0 and self.attempts:
--- /dev/null
+++ b/tests/net/test_message_timeout.py
@@ -0,0 +1,61 @@
+"""The adaptive time limit for messages of session servers; no sockets."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from martentide.net.message_timeout import RESENT_MESSAGES, MessageTimeout
+from martentide.net.servers import KEEPALIVE_TIMEOUT, MIN_MESSAGE_TIMEOUT
+
+RELEASED_WITHIN_S = 8.0  # of a call's end, by the protocol
+DIAL_S = 0.05  # to close a connection and have the next one
+
+
+def server_timeout() -> MessageTimeout:
+    """Return the timeout as a session server's actor uses it."""
+    return MessageTimeout(MIN_MESSAGE_TIMEOUT, KEEPALIVE_TIMEOUT)
+
+
+@given(state=st.floats(0.0, 20.0), release=st.floats(0.0, 20.0), others=st.integers(0, RESENT_MESSAGES - 1))
+def test_a_release_is_read_or_the_server_unresponsive_in_time(
+    state: float, release: float, others: int
+) -> None:
+    """Guards against standing calls for ever at a server whose messages take longer than the timeout.
+
+    The server writes its state first on each new connection, then maybe others' messages at once, and then
+    the release, each message over the given time.
+    """
+    timeout, now = server_timeout(), 0.0
+    while now <= RELEASED_WITHIN_S:
+        for duration in (state, *[0.0] * others, release):
+            if duration > timeout.seconds:
+                now += timeout.seconds + DIAL_S
+                if timeout.message_stalled():
+                    assert now <= RELEASED_WITHIN_S
+                    return
+                break
+            now += duration
+            timeout.message_completed(duration)
+        else:
+            break
+    assert now <= RELEASED_WITHIN_S
+
+
+def test_stalls_among_many_messages_leave_the_timeout_short() -> None:
+    """Guards against set-ups that wait long on a broken connection because some earlier ones broke too."""
+    timeout = server_timeout()
+    for _ in range(100):
+        assert not timeout.message_stalled()
+        for _ in range(30):
+            timeout.message_completed(0.0)
+    assert timeout.seconds == pytest.approx(MIN_MESSAGE_TIMEOUT)
+
+
+def test_a_server_that_writes_slowly_is_given_more_than_it_needs() -> None:
+    timeout = server_timeout()
+    timeout.message_stalled()
+    for _ in range(20):
+        timeout.message_completed(0.1)
+    assert timeout.seconds > 0.1
--- a/tests/net/test_rules_on_sockets.py
+++ b/tests/net/test_rules_on_sockets.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from martentide.codec.messages import Code, Message, Type, write_release
+from martentide.codec.messages import Code, Message, Type, write_message, write_release
 from tests.net.support import DESCRIPTION, Listener, Program, Wire, frame
 
 A, B = bytes.fromhex("0123456789abcdef"), bytes.fromhex("fedcba9876543210")
@@ -325,6 +325,51 @@
         assert program.servers[0].accept().receive(Type.RELEASE).call == A
 
 
+def write_in_two_pieces(server: Wire, message: bytes, gap: float) -> bool:
+    """Write a message with a pause of ``gap`` s; return whether the connection was still open after it."""
+    server.sock.sendall(message[:8])
+    end = time.monotonic() + gap
+    while (left := end - time.monotonic()) > 0.0 and select.select([server.sock], [], [], left)[0]:
+        if not server.sock.recv(1024):
+            return False
+    server.sock.sendall(message[8:])
+    return True
+
+
+@pytest.mark.parametrize(("state_gap", "release_gap"), [(0.1, 0.1), (0.0, 0.4), (0.0, 3.0), (3.0, 3.0)])
+def test_calls_end_in_time_at_a_server_that_writes_in_pieces(
+    tmp_path: Path, state_gap: float, release_gap: float
+) -> None:
+    """Guards against calls that stand for ever as each connection is closed before a release is whole."""
+    state = write_message(Type.GROUP_STATE, bytes(8), {Code.REPORT: b"spare:1;total:2"})
+    with Program(tmp_path) as program:
+        caller, server = program.caller(), program.servers[0].accept()
+        set_up_call(caller, server)
+        ended = time.monotonic()
+        open_still = write_in_two_pieces(server, write_release(A, 16), release_gap)
+        while not (open_still or select.select([caller.sock], [], [], 0.0)[0]):
+            assert time.monotonic() - ended < 8.0
+            server = program.servers[0].accept()
+            open_still = write_in_two_pieces(server, state, state_gap) and write_in_two_pieces(
+                server, write_release(A, 16), release_gap
+            )
+        assert caller.receive(Type.RELEASE).call == A
+        assert time.monotonic() - ended < 8.0
+
+
+def test_calls_end_in_time_at_a_server_that_closes_each_new_connection(tmp_path: Path) -> None:
+    """Guards against calls that stand for ever because each dial that succeeds counts as a sign of life."""
+    with Program(tmp_path) as program:
+        caller, server = program.caller(), program.servers[0].accept()
+        set_up_call(caller, server)
+        ended = time.monotonic()
+        server.sock.close()
+        while not select.select([caller.sock], [], [], 0.0)[0]:
+            program.servers[0].accept().sock.close()
+            assert time.monotonic() - ended < 8.0
+        assert (released := caller.receive(Type.RELEASE)).call == A and released.cause() == 41
+
+
 @pytest.mark.parametrize(("age", "cause"), [(60.0, 16), (-60.0, 41)])
 def test_a_restart_reported_late_cuts_only_older_calls(tmp_path: Path, age: float, cause: int) -> None:
     with Program(tmp_path) as program:
