--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -564,6 +564,7 @@
     def _dialled(self, item: Dialled) -> None:
         self.dial_task = None
         if item.streams is not None:
+            # A dial that succeeds is no sign of life: only received messages put the keepalives off.
             link = Link("server", self.name, item.streams, self.post, self.message_timeout.seconds)
             if self.listed.entry.state is ServerState.GONE:
                 link.close(CloseReason.SERVER_GONE)
--- a/tests/net/test_message_timeout.py
+++ b/tests/net/test_message_timeout.py
@@ -59,3 +59,17 @@
     for _ in range(20):
         timeout.message_completed(0.1)
     assert timeout.seconds > 0.1
+
+
+def test_slow_releases_among_many_whole_messages_are_read_or_the_server_unresponsive_in_time() -> None:
+    """Guards against standing calls for ever at a busy server that writes only its releases slowly."""
+    timeout, now = server_timeout(), 0.0
+    while now <= RELEASED_WITHIN_S:
+        for _ in range(2 * RESENT_MESSAGES):
+            timeout.message_completed(0.0)
+        if timeout.seconds >= 0.5:  # s from the first to the last byte of a release
+            return
+        now += timeout.seconds + DIAL_S
+        if timeout.message_stalled():
+            return
+    raise AssertionError(f"no release was read in {now:.1f} s")
