--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Exit code: 0 the rule held, 1 it was broken, 2 the case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")" || exit 2
+[ -x ../../.venv/bin/python ] || exit 2
+exec ../../.venv/bin/python -B case.py
