--- a/review/lib2/peers.py
+++ b/review/lib2/peers.py
@@ -696,11 +696,18 @@
         process.wait()
 
 
+def stopped(number: int, frame: object) -> None:
+    """End all processes when the case itself is told to end."""
+    end_processes()
+    os._exit(2)
+
+
 def run_case(file: str, case: Callable[[Record, Path, bool], Awaitable[bool]]) -> None:
     """Run a case and exit: 0 the rule held, 1 it was broken, 2 the case could not run."""
     here = Path(file).resolve().parent
     record = Record(here)
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, stopped)
     record.line(f"case {here.name}, trouble {'on' if trouble else 'off'}")
     code = 2
 
@@ -715,7 +722,7 @@
         with tempfile.TemporaryDirectory() as name:
             try:
                 code = 0 if asyncio.run(limited(Path(name))) else 1
-            except (CannotRun, TimeoutError) as error:
+            except Exception as error:  # also CannotRun, a time-out, and a fault of the case itself
                 record.line(f"could not run: {error!r}")
                 print(f"could not run: {error!r}")
             finally:
