--- a/review/10/case.py
+++ b/review/10/case.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib2"))
 
-from peers import DRAINING, READY, Board, Caller, Proxy, Record, Relay, SessionServer, run_case
+from peers import DRAINING, READY, Board, Caller, CannotRun, Proxy, Record, Relay, SessionServer, run_case
 
 SLOW = 3.0  # s that everything from the board takes; the pages allow 7 s
 TOLD = 7.0  # s after which an event counts as told, arrived or not
@@ -50,7 +50,9 @@
     await caller.stop()
     for server in servers:
         await server.stop()
-    return not late and proxy.running()
+    if not servers[0].set_ups or not proxy.running():
+        raise CannotRun("no set-up came, or the proxy has ended")
+    return not late
 
 
 run_case(__file__, case)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -8,7 +8,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib2"))
 
-from peers import READY, Board, Caller, Proxy, Record, SessionServer, run_case
+from peers import READY, Board, Caller, CannotRun, Proxy, Record, SessionServer, run_case
 
 CALLS = 5
 GAP = 0.4  # s between the two pieces; the processors may stand still for 200 to 500 ms
@@ -55,7 +55,9 @@
     record.line(f"of {len(later)} later calls {later.count('stands')} stood")
     await caller.stop()
     await server.stop()
-    return bool(watched) and not late and proxy.running()
+    if not watched or not proxy.running():
+        raise CannotRun("no call stood, or the proxy has ended")
+    return not late
 
 
 run_case(__file__, case)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib2"))
 
-from peers import READY, Board, Caller, Proxy, Record, Relay, SessionServer, run_case
+from peers import READY, Board, Caller, CannotRun, Proxy, Record, Relay, SessionServer, run_case
 
 LONG_CALLS = 6  # on the first connection
 HOLD = 8.0  # s, about the mean length of a call of the class
@@ -56,10 +56,11 @@
             late.append(call)
     record.line(f"{len(late)} of {len(watched)} calls released late or never")
     record.line(f"{server.accepted} server connections were opened")
-    held = bool(watched) and not late and proxy.running()
     await caller.stop()
     await server.stop()
-    return held
+    if not watched or not proxy.running():
+        raise CannotRun("no call stood on connection 1, or the proxy has ended")
+    return not late
 
 
 def server_end(server: SessionServer, call: bytes) -> float | None:
