Watch each server connection by itself, and confirm releases lost with one

Cause: liveness was one state per server. A byte on any connection put off the keepalives, which went out on the newest connection only. Ruled out: a lost repetition of the release - none was sent, as no connection was opened.

Change: each connection has its own keepalive and end (server_connection.py); release_recovery.py (pure) says which calls must be confirmed by a new connection, and which are ended because their release may be lost twice or could not be confirmed within 7.5 s. Whether the same process answers must be shown by a connection that was open across the silence. A late answer to a set-up alone no longer counts as silence.

--- a/martentide/codec/messages.py
+++ b/martentide/codec/messages.py
@@ -19,7 +19,8 @@
 HEAD = struct.Struct(">HB8s")
 PARAMETER = struct.Struct(">BH")
 ID_BYTES = 8
-MIN_LENGTH = HEAD.size - 2
+LENGTH_BYTES = 2
+MIN_LENGTH = HEAD.size - LENGTH_BYTES
 
 
 class Type(IntEnum):
@@ -102,6 +103,11 @@
         yield body
 
 
+def read_type(part: bytes | bytearray) -> int | None:
+    """Return the type of a message that is still incomplete, or None if it has not arrived yet."""
+    return part[LENGTH_BYTES] if len(part) > LENGTH_BYTES else None
+
+
 def read_message(body: bytes) -> Message:
     """Parse a message without its length field. Raises CodecError."""
     if len(body) < MIN_LENGTH:
--- a/martentide/net/links.py
+++ b/martentide/net/links.py
@@ -17,7 +17,7 @@
 
 from martentide.attempt_messages import Presence
 from martentide.codec import CodecError
-from martentide.codec.messages import MAX_MESSAGE_BYTES, Message, read_message, split
+from martentide.codec.messages import MAX_MESSAGE_BYTES, Message, read_message, read_type, split
 from martentide.net.close_reason import CloseReason, log_connection_closed
 
 MAX_UNPROCESSED = 64  # messages of one connection waiting in the mailbox at which it stops reading
@@ -80,10 +80,12 @@
         self.role, self.peer, self.post, self.message_timeout = role, peer, post, message_timeout
         self.reader, self.writer = streams
         self.loop = asyncio.get_running_loop()
-        self.opened_at = self.last_received_at = self.loop.time()
+        self.opened_at = self.last_received_at = self.last_byte_at = self.loop.time()
         self.close_reason: CloseReason | None = None
         self.read_credit = asyncio.Semaphore(MAX_UNPROCESSED)
         self.partial_message = bytearray(partial_message)  # bytes of an incomplete message
+        # Loop time at which its first byte was read; None if there is none.
+        self.partial_since = self.opened_at if partial_message else None
         self.read_bytes = len(self.partial_message)
         self.stalled = False  # whether ``partial_message`` was not complete in time
         self.splitting = False  # whether ``partial_message`` may hold complete messages
@@ -97,17 +99,17 @@
         self.task = self.loop.create_task(self._read_loop(), name=f"link {role} {peer}")
         self.task.add_done_callback(self._read_loop_ended)
 
-    async def _read(self, begun_at: float | None) -> bytes:
+    async def _read(self) -> bytes:
         """Read the next bytes; post ``Stalled`` if a message takes longer than ``message_timeout`` s.
 
         This detects incomplete messages, behind which nothing on the connection can be read, and endless
         ones. The short second read is for the case that this process was held up and the bytes are already
         there.
         """
-        if begun_at is None or self.stalled:
+        if self.partial_since is None or self.stalled:
             return await self.reader.read(MAX_MESSAGE_BYTES)
         try:
-            async with asyncio.timeout_at(begun_at + self.message_timeout):
+            async with asyncio.timeout_at(self.partial_since + self.message_timeout):
                 return await self.reader.read(MAX_MESSAGE_BYTES)
         except TimeoutError:
             pass
@@ -139,22 +141,25 @@
 
     async def _post_messages(self) -> None:
         partial = self.partial_message
-        begun_at = self.opened_at if partial else None
-        while data := await self._read(begun_at):
+        while data := await self._read():
             received_at, now = unix_ms(), self.loop.time()
+            self.last_byte_at = now
             partial += data
             self.read_bytes += len(data)
             self.splitting = True
             for body in split(partial):
-                duration = 0.0 if begun_at is None else now - begun_at
-                self.last_received_at, begun_at, self.stalled = now, None, False
+                duration = 0.0 if self.partial_since is None else now - self.partial_since
+                self.last_received_at, self.partial_since, self.stalled = now, None, False
                 message = read_message(body)
                 self.message_ends.append(self.read_bytes - len(partial))
                 await self.read_credit.acquire()
                 self.post(Received(self, message, received_at, duration))
             self.splitting = False
             self._notify_processed()
-            begun_at = (begun_at or now) if partial else None
+            if not partial:
+                self.partial_since = None
+            elif self.partial_since is None:
+                self.partial_since = now
 
     def _read_loop_ended(self, _: asyncio.Task[None]) -> None:
         """End the connection, also if the read loop was cancelled before its first step.
@@ -180,6 +185,16 @@
         self.read_credit.release()
         self._notify_processed()
 
+    @property
+    def partial_type(self) -> int | None:
+        """The type of the incomplete message, if that much of it was read."""
+        return read_type(self.partial_message)
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes that the peer sent wait in a buffer of this process or of the kernel."""
+        return bool(self._buffered or self._poll(select.POLLIN) & select.POLLIN)
+
     @property
     def unprocessed(self) -> int:
         """The number of messages that were read and that the actor has not processed yet."""
@@ -220,7 +235,7 @@
         return bool(self._poll(select.POLLRDHUP) & (select.POLLRDHUP | select.POLLHUP | select.POLLERR))
 
     def _has_unprocessed_input(self) -> bool:
-        return bool(self.message_ends or self._buffered or self._poll(select.POLLIN) & select.POLLIN)
+        return bool(self.message_ends or self.has_unread_bytes)
 
     def _kernel_buffered_bytes(self) -> int:
         """Return the number of unread bytes in the kernel."""
--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -10,9 +10,8 @@
 import itertools
 import math
 import random
-from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import ClassVar
 
 from martentide.attempt_messages import ClientLeft, Ended, InputProcessed, Order, Presence, Stood, Withdraw
@@ -26,27 +25,30 @@
 from martentide.net.dispatcher import ApplySettings, Probing
 from martentide.net.links import Link, LinkEnded, Received, Stalled, unix_ms
 from martentide.net.message_timeout import MessageTimeout
+from martentide.net.release_recovery import ReleaseRecovery
+from martentide.net.server_connection import KEEPALIVE_IDLE, KEEPALIVE_TIMEOUT, ServerConnection
 
 MAX_CONNECTIONS = 4  # to one server, which sends its group state on at most this many
 HEALTH_CHECK_TIMEOUT = 0.25  # s
 RECONNECT_DELAY = (0.5, 1.0)  # s; uniform range of the delay after a failed dial or a short-lived connection
-# s without a byte from a server that holds calls before a keepalive is sent. Together with KEEPALIVE_TIMEOUT
-# it must stay below the 8 s in which callers have to learn that their calls are over. A shorter time would
-# make the keepalives of all proxies add up at the server.
-KEEPALIVE_IDLE = 3.5
-KEEPALIVE_INTERVAL = 0.5  # s between keepalives
-# s in which a message must be complete once its first byte was received from a server; short enough that
-# the set-up can still be retried elsewhere in time. A server that stalls again and again is given longer.
+# s in which a message must be complete once its first byte was received from a server, before the open
+# set-ups of the connection are ended; short enough that they can still be retried elsewhere in time. A server
+# that stalls again and again is given longer.
 MIN_MESSAGE_TIMEOUT = 0.06
+# s without a byte in the middle of a message before its connection is closed; longer than a processor may
+# stand still, and below the 1 s in which callers have to learn of a release that was sent.
+MIN_PROGRESS_TIMEOUT = 0.8
 # s without a byte on a connection since a set-up was sent on it; after that the connection is suspect, and
 # another one is opened if all are.
 SUSPECT_AFTER = 0.12
 # s; a connection that closed sooner is not replaced at once, so that no server is dialled in a tight loop.
 MIN_CONNECTION_LIFETIME = 0.5
-# s without a complete message since one was sent, or for one message, before a server counts as cut off.
-KEEPALIVE_TIMEOUT = 2.5
+REFRESH_RETRY_DELAY = 1.0  # s before another connection is opened only to ask for releases
+MIN_CHECK_INTERVAL = 0.01  # s between liveness checks of the connections
+# s by which a liveness check may be late; after a longer pause of this process, input that arrived meanwhile
+# is processed first.
+MAX_CHECK_LATENESS = 0.25
 INPUT_CHECK_VALIDITY = 0.05  # s for which a client's processed input counts as complete before a new check
-MAX_ABANDONED_IDS = 1024  # ids remembered for each connection
 NO_LINES_NOTE = "all_trunks_busy"  # note in a server's refusal
 ENDING_BY_CAUSE = {int(Cause.NO_CIRCUIT): Ending.FULL, int(Cause.TIMER_EXPIRY): Ending.NOT_SENT}
 
@@ -66,25 +68,6 @@
     awaiting_input: bool = False  # whether the set-up waits for that input to be processed
 
 
-@dataclass(slots=True)
-class ServerConnection:
-    """A connection and the calls given up on it.
-
-    A given-up call is not set up again on the same connection, where a late message about the old attempt
-    would count for the new one.
-    """
-
-    link: Link
-    suspect: bool = False  # nothing came after a message that needs a response; others are preferred
-    abandoned: OrderedDict[bytes, None] = field(default_factory=OrderedDict)
-
-    def abandon(self, call: bytes) -> None:
-        """Remember a call that was given up on this connection."""
-        self.abandoned[call] = None
-        if len(self.abandoned) > MAX_ABANDONED_IDS:
-            self.abandoned.popitem(last=False)
-
-
 @dataclass(frozen=True, slots=True)
 class Dialled:
     """The result of a dial: streams, or the reason why it failed."""
@@ -128,19 +111,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class KeepaliveTimerExpired:
-    """The keepalive timer has expired."""
+class LivenessCheckDue:
+    """The connections' liveness has to be checked."""
 
     LOG_NAME: ClassVar[str] = "QuietDue"
 
 
-Timer = (
-    AttemptTimedOut
-    | SuspectTimerExpired
-    | HealthCheckTimedOut
-    | ReconnectTimerExpired
-    | KeepaliveTimerExpired
-)
+Timer = AttemptTimedOut | SuspectTimerExpired | HealthCheckTimedOut | ReconnectTimerExpired | LivenessCheckDue
 DispatcherItem = Stood | Ended | ProbeEnded | InputProcessed | ClientLeft
 Item = (
     Order
@@ -184,11 +161,13 @@
         self.pending_releases: dict[bytes, bytes] = {}  # release messages to write on the next connection
         self.dial_task: asyncio.Task[None] | None = None
         self.reconnect_timer: asyncio.TimerHandle | None = None
-        self.last_received_at = self.loop.time()
         self.message_timeout = MessageTimeout(MIN_MESSAGE_TIMEOUT, KEEPALIVE_TIMEOUT)
-        # Loop time of the first sent message after which no byte was received; None if there is none.
-        self.awaiting_since: float | None = None
-        self.keepalive_timer = self.loop.call_later(KEEPALIVE_IDLE, self.post, KeepaliveTimerExpired())
+        self.progress_timeout = MessageTimeout(MIN_PROGRESS_TIMEOUT, KEEPALIVE_TIMEOUT)
+        self.recovery = ReleaseRecovery()
+        self.check_due_at = self.loop.time() + KEEPALIVE_IDLE
+        self.check_timer = self.loop.call_at(self.check_due_at, self.post, LivenessCheckDue())
+        self.refresh_at = 0.0  # loop time before which no connection is opened only to ask for releases
+        self.check_postponed = False  # whether the last check was put off, because it came late
         self.task = self.loop.create_task(self._run(), name=f"server {self.name}")
 
     def post(self, item: Item) -> None:
@@ -205,7 +184,7 @@
                 LOG.exception("internal-error", server=self.name, item=logged_name(item))
             if isinstance(item, Received):
                 item.link.message_processed()
-        self.keepalive_timer.cancel()
+        self.check_timer.cancel()
         while not self.mailbox.empty():  # each order that arrived meanwhile must still get its Ended
             late = self.mailbox.get_nowait()
             if isinstance(late, Order):
@@ -227,6 +206,7 @@
                 self._input_processed(item)
             case Received():
                 self.message_timeout.message_completed(item.duration)
+                self.progress_timeout.message_completed(item.duration)
                 self._apply_message_timeout()
                 self._received(item.link, item.message)
             case Dialled():
@@ -250,8 +230,8 @@
                 self._suspect_due(attempt)
             case HealthCheckTimedOut():
                 self._end_health_check(item.check_id, Ending.TIMED_OUT, None)
-            case KeepaliveTimerExpired():
-                self._keepalive_due()
+            case LivenessCheckDue():
+                self._liveness_check_due()
             case ReconnectTimerExpired():
                 self.reconnect_timer = None
                 self._dial()
@@ -293,7 +273,6 @@
             return
         attempt.sent_at, attempt.link = self.loop.time(), connection.link
         attempt.suspect_timer = self.loop.call_later(SUSPECT_AFTER, self.post, SuspectTimerExpired(attempt))
-        self._mark_awaiting()
         time_left = order.patience - (attempt.sent_at - attempt.ordered_at) * 1000.0
         CALL_TRACE.step(
             order.call, CallStep.SENT, server=self.name, attempt=order.attempt, left=round(time_left)
@@ -387,9 +366,16 @@
                 connection.suspect = True
         if self.connections and all(connection.suspect for connection in self.connections):
             if len(self.connections) >= MAX_CONNECTIONS:
-                self.connections[0].link.close(CloseReason.SILENT)
+                self._least_used_connection().link.close(CloseReason.SILENT)
             self._dial()
 
+    def _least_used_connection(self) -> ServerConnection:
+        """Return the oldest connection that no call or health check uses, or the oldest of all."""
+        used = {attempt.link for attempt in self.attempts.values()}
+        used.update(check[2] for check in self.health_checks.values())
+        unused = (connection for connection in self.connections if connection.link not in used)
+        return next(unused, self.connections[0])
+
     def _withdraw(self, item: Withdraw) -> None:
         attempt = self.attempts.get(item.call)
         if attempt is None or (attempt.order.ref, attempt.order.attempt) != (item.ref, item.attempt):
@@ -438,6 +424,7 @@
         if attempt.suspect_timer is not None:
             attempt.suspect_timer.cancel()
         del self.attempts[attempt.order.call]
+        self.recovery.ended(attempt.order.call)
         since = attempt.ordered_at if attempt.sent_at is None else attempt.sent_at
         lag = (self.loop.time() - since) * 1000.0
         order = attempt.order
@@ -447,10 +434,11 @@
     # ---- messages from the server -----------------------------------------------------------------------
 
     def _received(self, link: Link, message: Message) -> None:
-        self.last_received_at, self.awaiting_since = max(self.last_received_at, link.last_received_at), None
         for connection in self.connections:
             if connection.link is link:
-                connection.suspect = False
+                connection.message_received()
+                if message.type == Type.TEST_RESULT and message.call == connection.confirmation_id:
+                    self.recovery.confirmed(link)
         match message.type:
             case Type.ANSWER:
                 self._answered(link, message)
@@ -469,6 +457,7 @@
             self._end_attempt(attempt, Ending.CUT)
             return
         attempt.stands = True
+        self.recovery.stood(message.call, link)
         attempt.timer.cancel()
         if attempt.suspect_timer is not None:
             attempt.suspect_timer.cancel()
@@ -568,7 +557,11 @@
             link = Link("server", self.name, item.streams, self.post, self.message_timeout.seconds)
             if self.listed.entry.state is ServerState.GONE:
                 link.close(CloseReason.SERVER_GONE)
-            self.connections.append(ServerConnection(link))
+            connection = ServerConnection(link)
+            self.connections.append(connection)
+            if self.recovery.opened(link, self.loop.time()):
+                connection.confirmation_id = self._send_test(link)
+                self._schedule_check()
             for release in self.pending_releases.values():
                 link.write(release)
             self.pending_releases.clear()
@@ -593,6 +586,7 @@
     def _link_ended(self, link: Link, reason: CloseReason) -> None:
         self.connections = [connection for connection in self.connections if connection.link is not link]
         unresponsive = reason in (CloseReason.BLOCKED, CloseReason.SILENT)
+        self._recover_releases(link, reason)
         for attempt in [
             unanswered
             for unanswered in self.attempts.values()
@@ -607,7 +601,7 @@
                 self._end_health_check(check_id, Ending.CUT, None)
         # The end of a connection, even by a reset, ends no standing call. That the server process is dead
         # shows when a dial is refused, or when the server list reports a restart.
-        if any(attempt.stands and attempt.link is link for attempt in self.attempts.values()):
+        if self.recovery.needs_connection:
             # The server's release may have been lost with the connection, unread or partly read. The server
             # sends it again on the next connection that is opened, even if others are open.
             self._dial()
@@ -620,13 +614,22 @@
             else:
                 self._schedule_reconnect()
 
-    def _message_stalled(self, link: Link) -> None:
-        """Close a connection on which a message was not complete in time.
+    def _recover_releases(self, link: Link, reason: CloseReason) -> None:
+        """Note which standing calls' releases may have been lost with a connection.
 
-        The server sends the releases that were not read again on the next connection. If they don't arrive
-        there either, however long they may take, the calls are ended here: their callers have to learn of the
-        end in time.
+        Calls whose release may have been lost twice are ended: the server does not send it a third time.
         """
+        heard_at = link.last_received_at
+        same_process = any(
+            connection.link.opened_at < heard_at and connection.received_since(heard_at)
+            for connection in self.connections
+        )
+        for call in self.recovery.lost(link, heard_at, reason is CloseReason.SILENT, same_process):
+            self._end_standing_here(self.attempts[call])
+        self._schedule_check()
+
+    def _message_stalled(self, link: Link) -> None:
+        """Close a connection on which a message was not complete in time."""
         if not link.stalled or not link.alive:
             return
         if self.message_timeout.message_stalled():
@@ -646,7 +649,17 @@
 
     def _end_standing_here(self, attempt: Attempt) -> None:
         """End a standing call that the server may still hold: it is released there once possible."""
-        self.pending_releases[attempt.order.call] = write_release(attempt.order.call, Cause.NORMAL)
+        release = write_release(attempt.order.call, Cause.NORMAL)
+        working = (
+            connection.link
+            for connection in reversed(self.connections)
+            if connection.link.alive and not connection.suspect and connection.received_since(0.0)
+        )
+        if (link := next(working, None)) is not None:
+            link.write(release)
+        else:
+            self.pending_releases[attempt.order.call] = release
+            self._dial()
         self._end_attempt(attempt, Ending.CUT)
 
     def _cut_standing(self, before: float = math.inf) -> None:
@@ -662,44 +675,116 @@
             self._end_attempt(attempt, Ending.CUT)
         self.pending_releases.clear()
 
-    def _keepalive_due(self) -> None:
-        """Send keepalives to a silent server, and end its calls when it stays silent too long.
+    # ---- liveness of the connections --------------------------------------------------------------------
+
+    def _liveness_check_due(self) -> None:
+        late = self.loop.time() - self.check_due_at > MAX_CHECK_LATENESS
+        if late and not self.check_postponed:
+            # This process was held up, so what the server sent meanwhile may still be unread.
+            self.check_postponed = True
+            self._schedule_check(postponed=True)
+            return
+        self.check_postponed = False
+        self._close_broken_connections()
+        self._send_keepalives()
+        now = self.loop.time()
+        for call in self.recovery.overdue(now):
+            self._end_standing_here(self.attempts[call])
+        refresh_due = self.recovery.refresh_due
+        if refresh_due is not None and now >= max(refresh_due, self.refresh_at):
+            self._refresh_connection()
+        self._schedule_check()
+
+    def _schedule_check(self, postponed: bool = False) -> None:
+        """Schedule the next liveness check for the earliest time at which something can be due."""
+        now, timeout = self.loop.time(), self.progress_timeout.seconds
+        carrying = self._carrying_connections()
+        times = [
+            connection.next_check_at(connection in carrying, timeout)
+            for connection in self.connections
+            if connection.link.alive
+        ]
+        times += [self.recovery.next_deadline, now + KEEPALIVE_IDLE]
+        if (refresh_due := self.recovery.refresh_due) is not None:
+            times.append(max(refresh_due, self.refresh_at))
+        due_at = max(now + MIN_CHECK_INTERVAL, min(time for time in times if time is not None))
+        if postponed:
+            due_at = now + MIN_CHECK_INTERVAL
+        self.check_timer.cancel()
+        self.check_due_at = due_at
+        self.check_timer = self.loop.call_at(due_at, self.post, LivenessCheckDue())
+
+    def _carrying_connections(self) -> list[ServerConnection]:
+        """Return the connections on which the release of a standing call may come."""
+        links = self.recovery.carrying()
+        if None in links:  # a call without a connection of its own may be released on any
+            return list(self.connections)
+        return [connection for connection in self.connections if connection.link in links]
+
+    def _close_broken_connections(self) -> None:
+        """Close connections whose keepalive was not answered, or whose message has broken off.
 
         A machine that vanishes or is cut off reports no error. Without this check its calls would stand here
         for ever, because their ends are never received.
         """
         now = self.loop.time()
-        idle_left = KEEPALIVE_IDLE - (now - self.last_received_at)
-        if self.awaiting_since is not None and now - self.awaiting_since >= KEEPALIVE_TIMEOUT:
-            self.awaiting_since = None
+        for connection in self.connections:
+            if not connection.link.alive:
+                continue
+            deadline = connection.message_deadline(self.progress_timeout.seconds)
+            if connection.is_silent(now) and not connection.link.has_unread_bytes:
+                self._connection_silent(connection)
+            elif deadline is not None and now >= deadline and not connection.link.has_unread_bytes:
+                if self.progress_timeout.message_stalled():
+                    self._end_unreadable_calls(connection.link)
+                connection.link.close(CloseReason.STALLED)
+
+    def _connection_silent(self, silent: ServerConnection) -> None:
+        """Close a connection that is dead; if nothing came on any other, the whole server is cut off."""
+        since = silent.keepalive_sent_at or 0.0
+        if not any(connection.received_since(since) for connection in self.connections):
             for attempt in [attempt for attempt in self.attempts.values() if attempt.stands]:
                 self._end_standing_here(attempt)
             for connection in self.connections:
                 connection.link.close(CloseReason.SILENT)
-        elif idle_left <= 0 and self.attempts:
-            if was_awaiting := self.awaiting_since is not None:
-                for connection in self.connections:
-                    self._mark_suspect(connection.link, self.awaiting_since)
-            self._mark_awaiting()
-            # The first keepalive goes out on one connection only: a byte on any shows that the server lives.
-            for connection in self.connections if was_awaiting else self.connections[-1:]:
-                check_id = next(self.check_numbers).to_bytes(8, "big")
-                connection.link.write(write_message(Type.TEST, check_id, {Code.CAUSE: b"\0"}))
-        if any(
-            connection.link.last_received_at > connection.link.opened_at and not connection.suspect
-            for connection in self.connections
-        ):
-            for connection in self.connections:  # the server lives, so its silent connections are dead
-                if connection.suspect and now - connection.link.last_received_at >= KEEPALIVE_TIMEOUT:
-                    connection.link.close(CloseReason.SILENT)
-        self.keepalive_timer = self.loop.call_later(
-            max(KEEPALIVE_INTERVAL, idle_left), self.post, KeepaliveTimerExpired()
-        )
+        silent.link.close(CloseReason.SILENT)
+
+    def _send_keepalives(self) -> None:
+        """Send keepalives on the connections that carry standing calls and were silent for a while.
 
-    def _mark_awaiting(self) -> None:
-        """Note when a message that a live server responds to was sent, or put off until a dial succeeds."""
-        if self.awaiting_since is None:
-            self.awaiting_since = self.loop.time()
+        When one is not answered soon, they go out on all connections: that shows whether the server lives.
+        """
+        now = self.loop.time()
+        unanswered = [one for one in self.connections if one.keepalive_unanswered(now)]
+        for connection in unanswered:
+            self._mark_suspect(connection.link, connection.keepalive_sent_at or 0.0)
+        due = self.connections if unanswered else self._carrying_connections()
+        for connection in due:
+            if not connection.link.alive or connection.keepalive_sent_at is not None:
+                continue
+            if unanswered or now >= connection.keepalive_due_at():
+                connection.keepalive_sent_at = now
+                self._send_test(connection.link)
+
+    def _send_test(self, link: Link) -> bytes:
+        """Send a health check that asks for no report, as a keepalive; return its id."""
+        check_id = next(self.check_numbers).to_bytes(8, "big")
+        link.write(write_message(Type.TEST, check_id, {Code.CAUSE: b"\0"}))
+        return check_id
+
+    def _refresh_connection(self) -> None:
+        """Open another connection, on which the server repeats releases that it sent on a dead one."""
+        self.refresh_at = self.loop.time() + REFRESH_RETRY_DELAY
+        used = {attempt.link for attempt in self.attempts.values()}
+        with_set_ups = {attempt.link for attempt in self.attempts.values() if not attempt.stands}
+        spare = [one for one in self.connections[:-1] if not self.recovery.awaits(one.link)]
+        closable = [one for one in spare if one.link not in used]
+        if not closable and len(self.connections) >= MAX_CONNECTIONS:
+            # The calls that stand on it are confirmed by the new connection as well.
+            closable = [one for one in spare if one.link not in with_set_ups][:1]
+        for connection in closable:
+            connection.link.close(CloseReason.REPLACED)
+        self._dial()
 
     def _update(self, listed: Listed | ApplySettings) -> None:
         if isinstance(listed, ApplySettings):
--- a/tests/net/test_logged_names.py
+++ b/tests/net/test_logged_names.py
@@ -29,7 +29,7 @@
     servers.SuspectTimerExpired: "DoubtDue",
     servers.HealthCheckTimedOut: "TestOver",
     servers.ReconnectTimerExpired: "RedialDue",
-    servers.KeepaliveTimerExpired: "QuietDue",
+    servers.LivenessCheckDue: "QuietDue",
     callers.MessageToCaller: "Say",
     callers.PendingReleaseExpired: "NoLongerOwed",
     callers.CallerLeftAtSuccessor: "LeftHere",
@@ -127,7 +127,7 @@
 def test_server_actor_logs_the_former_name(log: LogRecorder) -> None:
     async def run() -> None:
         actor = servers.Server(Listed(entry("s-1", 0), "127.0.0.1", 1), 1.0, do_nothing)
-        actor.post(servers.KeepaliveTimerExpired())
+        actor.post(servers.LivenessCheckDue())
         await wait_for_lines(log, 1)
         actor.task.cancel()
 
--- a/tests/net/test_message_timeout.py
+++ b/tests/net/test_message_timeout.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 
 from martentide.net.message_timeout import RESENT_MESSAGES, MessageTimeout
-from martentide.net.servers import KEEPALIVE_TIMEOUT, MIN_MESSAGE_TIMEOUT
+from martentide.net.server_connection import KEEPALIVE_TIMEOUT
+from martentide.net.servers import MIN_MESSAGE_TIMEOUT
 
 RELEASED_WITHIN_S = 8.0  # of a call's end, by the protocol
 DIAL_S = 0.05  # to close a connection and have the next one
--- /dev/null
+++ b/tests/net/test_server_liveness.py
@@ -0,0 +1,119 @@
+"""Releases of standing calls when connections to a session server stall, fall silent or end."""
+
+from __future__ import annotations
+
+import select
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from threading import Event, Thread
+
+import pytest
+
+from martentide.codec.messages import Code, Type, write_message, write_release
+from tests.net.support import Program, Wire
+from tests.net.test_rules_on_sockets import open_two_connections, set_up_call
+
+A, B = bytes.fromhex("0123456789abcdef"), bytes.fromhex("fedcba9876543210")
+RELEASED_WITHIN_S = 8.05  # of a call's end, by the protocol, with the slack of the sockets
+STATE = write_message(Type.GROUP_STATE, bytes(8), {Code.REPORT: b"spare:1;total:2"})
+
+
+def answer_health_checks(server: Wire, stop: Event) -> None:
+    """Answer each health check on the connection until ``stop`` is set or the connection ends."""
+    try:
+        while not stop.is_set():
+            if select.select([server.sock], [], [], 0.02)[0]:
+                message = server.receive()
+                if message.type == Type.TEST:
+                    server.send(Type.TEST_RESULT, message.call, {Code.CAUSE: b"\x01"})
+    except (EOFError, OSError):
+        pass
+
+
+@contextmanager
+def answering(*servers: Wire) -> Iterator[None]:
+    """Let these connections of a session server answer health checks meanwhile."""
+    stop = Event()
+    threads = [Thread(target=answer_health_checks, args=(server, stop)) for server in servers]
+    for thread in threads:
+        thread.start()
+    try:
+        yield
+    finally:
+        stop.set()
+        for thread in threads:
+            thread.join()
+
+
+def test_release_on_a_silent_connection_is_heard_on_a_new_one_though_another_works(tmp_path: Path) -> None:
+    """Guards against calls for ever on a connection that fell silent beside a working one (review/8)."""
+    with Program(tmp_path) as program:
+        caller, silent, working = open_two_connections(program)
+        ended = time.monotonic()
+        with answering(working):
+            assert silent.closed()
+            again = program.servers[0].accept()
+            again.sock.sendall(STATE + write_release(A, 16))  # the release was sent on the silent one before
+            released = caller.receive(Type.RELEASE)
+        assert (released.call, released.cause()) == (A, 16)
+        assert time.monotonic() - ended < RELEASED_WITHIN_S
+
+
+def test_calls_on_a_silent_connection_end_in_time_if_nothing_shows_their_server_lives(tmp_path: Path) -> None:
+    """Guards against taking a process that came up at the address for the one that held the calls."""
+    with Program(tmp_path) as program:
+        caller, silent = program.caller(), program.servers[0].accept()
+        set_up_call(caller, silent)
+        ended = time.monotonic()
+        caller.set_up(B, left=400)
+        assert caller.receive().call == B  # failed, because the connection is silent
+        other = program.servers[0].accept()
+        other.sock.sendall(STATE)
+        with answering(other):
+            assert silent.closed()
+            again = program.servers[0].accept()
+            again.sock.sendall(STATE)
+            with answering(again):
+                released = caller.receive(Type.RELEASE)
+        assert (released.call, released.cause()) == (A, 41)
+        assert time.monotonic() - ended < RELEASED_WITHIN_S
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_calls_end_in_time_if_the_connection_that_repeats_their_release_ends_too(
+    tmp_path: Path, reset: bool
+) -> None:
+    """Guards against calls for ever whose release was lost on its connection and on the next one."""
+    with Program(tmp_path) as program:
+        caller, server = program.caller(), program.servers[0].accept()
+        set_up_call(caller, server)
+        ended = time.monotonic()
+        server.reset()
+        second = program.servers[0].accept()
+        second.sock.sendall(STATE + write_release(A, 16)[:7])
+        if reset:
+            second.reset()
+        else:
+            assert second.closed()  # it stops in the middle of the message
+        program.servers[0].accept().sock.sendall(STATE)
+        released = caller.receive(Type.RELEASE)
+        assert (released.call, released.cause()) == (A, 41)
+        assert time.monotonic() - ended < RELEASED_WITHIN_S
+
+
+def test_a_call_is_kept_when_its_connection_is_reset_and_the_next_one_delivers_no_release(
+    tmp_path: Path,
+) -> None:
+    """Guards against cutting calls that stand: the new connection shows that no release was lost."""
+    with Program(tmp_path) as program:
+        caller, server = program.caller(), program.servers[0].accept()
+        set_up_call(caller, server)
+        server.reset()
+        again = program.servers[0].accept()
+        again.sock.sendall(STATE)
+        with answering(again):
+            assert not select.select([caller.sock], [], [], RELEASED_WITHIN_S + 1.0)[0]
+        again.release(A, 16)
+        assert caller.receive(Type.RELEASE).cause() == 16
