Keep a stopping process up while its predecessor answers through it

Cause: at its SIGTERM a process waited for its own calls only, and closed the connections through which its predecessor still had to answer. Ruled out: the old process giving up early; its attempts ended as their answers could not be passed on.

Change: the end waits for the predecessor's calls as well, then ends its side of the channel and waits up to 1 s for what is on its way; a process also waits up to 1 s until its last frames can be read.

--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -164,6 +164,7 @@
         self.mailbox: asyncio.Queue[Item] = asyncio.Queue()
         self.links: dict[Link, int] = {}  # value: number of calls set up on the connection that were answered
         self.records: dict[bytes, CallRecord] = {}
+        self.predecessor_calls = 0  # number of records of calls that the predecessor owns
         self.pending_releases: dict[bytes, bytes] = {}  # release messages to write on the next connection
         self.task = self.loop.create_task(self._run(), name=f"calling host {host}")
 
@@ -183,6 +184,7 @@
             if isinstance(item, Received):
                 item.link.message_processed()
             self.client_connections.set_has_calls(self.host, bool(self.records or self.pending_releases))
+            self.client_connections.set_has_predecessor_calls(self.host, self.predecessor_calls > 0)
             if not (self.links or self.records or self.pending_releases) and self.mailbox.empty():
                 # No state is left for the host; its next connection creates a new actor.
                 self.unregister(self.host)
@@ -215,7 +217,7 @@
             case MoveIn(frame, link):
                 self._move_in(frame, link)
             case CallerLeftAtSuccessor(call):
-                record = self.records.pop(call, None)
+                record = self._remove_record(call)
                 if record is not None:
                     self.notify_dispatcher(ReleaseIn(call, self) if record.stands else GiveUp(call, self))
             case PredecessorGone():
@@ -223,6 +225,17 @@
             case SuccessorGone():
                 self._successor_gone()
 
+    def _add_record(self, call: bytes, record: CallRecord) -> None:
+        self._remove_record(call)
+        self.records[call] = record
+        self.predecessor_calls += record.predecessor_owned
+
+    def _remove_record(self, call: bytes) -> CallRecord | None:
+        record = self.records.pop(call, None)
+        if record is not None:
+            self.predecessor_calls -= record.predecessor_owned
+        return record
+
     # ---- connections ------------------------------------------------------------------------------------
 
     def add_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -262,7 +275,7 @@
             if record.stands:
                 record.link = None
             else:
-                del self.records[call]
+                self._remove_record(call)
                 self._notify_owner(call, record)
 
     # ---- messages from callers --------------------------------------------------------------------------
@@ -277,7 +290,7 @@
                 self._set_up(link, message, item.received_at)
             case Type.RELEASE:
                 link.write(write_message(Type.RELEASE_ACK, message.call))
-                record = self.records.pop(message.call, None)
+                record = self._remove_record(message.call)
                 if record is None and self.client_connections.predecessor is not None:
                     # The call may stand at the predecessor.
                     self.client_connections.predecessor(Left(self.host, message.call))
@@ -338,7 +351,7 @@
             # number of calls that were answered on it.
             link.write(write_release(message.call, Cause.CONGESTION))
             return
-        self.records[message.call] = CallRecord(link)
+        self._add_record(message.call, CallRecord(link))
         self.client_connections.set_up_opened(link)
         self.notify_dispatcher(offer)
 
@@ -380,7 +393,7 @@
         if record is None and item.from_predecessor and not item.stands:
             # The caller reconnected after the connection of its call had closed.
             record = CallRecord(None, stands=True, predecessor_owned=True)
-            self.records[item.call] = record
+            self._add_record(item.call, record)
         if record is None:
             return  # the caller has left, and the dispatcher has been notified or is about to be
         if record.moved and self.client_connections.successor is not None:
@@ -388,14 +401,14 @@
             self.client_connections.successor(Said(self.host, item.call, item.message, item.stands), None)
             record.stands = item.stands
             if not item.stands:
-                del self.records[item.call]
+                self._remove_record(item.call)
             return
         link = record.link if record.link is not None and record.link.alive else None
         if item.stands and link is None:
             # The connection closed while the answer was in the mailbox: without a caller the call must not
             # stand.
             CALL_TRACE.step(item.call, CallStep.NO_CONNECTION, stands=item.stands)
-            del self.records[item.call]
+            self._remove_record(item.call)
             self._notify_owner(item.call, record)
             return
         if not record.stands and record.link is not None:
@@ -405,7 +418,7 @@
             self.links[link] += 1
             self.client_connections.change_standing(link, 1)
         else:
-            del self.records[item.call]
+            self._remove_record(item.call)
             self._uncount_standing(record)
         if link is None and record.stands and not item.stands:
             link = next((link for link in reversed(self.links) if link.alive), None)
@@ -488,7 +501,7 @@
     def _move_in(self, frame: MovedLink | MovedCalls, link: Link | None) -> None:
         """Take over the host's state from the predecessor, which still owns the calls."""
         for call in frame.standing:
-            self.records[call] = CallRecord(link, stands=True, predecessor_owned=True)
+            self._add_record(call, CallRecord(link, stands=True, predecessor_owned=True))
         if isinstance(frame, MovedCalls):
             for call, message in frame.owed:
                 if (alive := next((one for one in reversed(self.links) if one.alive), None)) is not None:
@@ -500,7 +513,7 @@
         self.links[link] = frame.stood
         for call in frame.open:
             CALL_TRACE.step(call, CallStep.MOVED_IN, peer=link.peer)
-            self.records[call] = CallRecord(link, predecessor_owned=True)
+            self._add_record(call, CallRecord(link, predecessor_owned=True))
             self.client_connections.set_up_opened(link)
         self.client_connections.change_standing(link, len(frame.standing))
         if not frame.mute:
@@ -511,7 +524,7 @@
         for call, record in [(call, record) for call, record in self.records.items() if record.moved]:
             record.moved = False
             if not record.stands:
-                del self.records[call]
+                self._remove_record(call)
                 self._notify_owner(call, record)
 
     def _predecessor_gone(self) -> None:
@@ -520,7 +533,7 @@
             (call, record) for call, record in self.records.items() if record.predecessor_owned
         ]:
             if record.stands:
-                del self.records[call]
+                self._remove_record(call)
                 self._uncount_standing(record)
             else:
                 self._deliver(
@@ -620,6 +633,10 @@
 
     # ---- upgrade ----------------------------------------------------------------------------------------
 
+    async def predecessor_calls_ended(self) -> None:
+        """Wait until this process no longer passes messages on to the callers of the predecessor's calls."""
+        await self.client_connections.no_predecessor_calls.wait()
+
     def move_out(self) -> None:
         """Move all calling hosts to the successor; each connection becomes a MovedLink once ready."""
         self.moving = True
--- a/martentide/net/client_connections.py
+++ b/martentide/net/client_connections.py
@@ -39,6 +39,9 @@
         self.open_set_ups: dict[Link, int] = {}  # all connections, with the number of their open set-ups
         self.host_of: dict[Link, str] = {}
         self.hosts_with_calls: set[str] = set()  # calling hosts that have calls or pending releases
+        self.hosts_with_predecessor_calls: set[str] = set()
+        self.no_predecessor_calls = asyncio.Event()
+        self.no_predecessor_calls.set()
         self.standing_calls: dict[Link, int] = {}  # number of standing calls set up on the connection
         self.draining = False
         self.ready: Callable[[], bool] = lambda: True  # result of callers' health checks
@@ -73,6 +76,17 @@
         else:
             self.hosts_with_calls.discard(host)
 
+    def set_has_predecessor_calls(self, host: str, any_left: bool) -> None:
+        """Set whether the predecessor owns calls of the host, whose messages come through this process."""
+        if any_left:
+            self.hosts_with_predecessor_calls.add(host)
+        else:
+            self.hosts_with_predecessor_calls.discard(host)
+        if self.hosts_with_predecessor_calls:
+            self.no_predecessor_calls.clear()
+        else:
+            self.no_predecessor_calls.set()
+
     def _connection_to_close(self, newcomer: Link) -> Link:
         """Return the connection to close: of a host without calls if possible, mute before resting."""
         idle = [link for link in self._idle() if link is not newcomer]
--- a/martentide/net/handover.py
+++ b/martentide/net/handover.py
@@ -59,6 +59,8 @@
         self.outgoing: deque[tuple[bytes, int | None]] = deque()
         self.queued_bytes = 0
         self.alive = True
+        self.flushed = asyncio.Event()  # set while no frame waits to be sent
+        self.flushed.set()
         sock.setblocking(False)
         self.loop.add_reader(sock, self._readable)
 
@@ -70,6 +72,7 @@
         duplicate = os.dup(descriptor) if descriptor is not None else None
         self.outgoing.append((raw, duplicate))
         self.queued_bytes += len(raw)
+        self.flushed.clear()
         if len(self.outgoing) == 1:
             self._flush()
         if self.queued_bytes > MAX_QUEUED_BYTES:
@@ -91,6 +94,13 @@
             self.close(CloseReason.PEER_RESET, str(error))
             return
         self.loop.remove_writer(self.sock)
+        self.flushed.set()
+
+    def finish_sending(self) -> None:
+        """Send nothing more; the other side reads an end, and what it sends can still be received."""
+        if self.alive:
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_WR)
 
     def _resume_reading(self) -> None:
         if self.alive:
@@ -126,6 +136,7 @@
             if descriptor is not None:
                 os.close(descriptor)
         self.outgoing.clear()
+        self.flushed.set()
         log_connection_closed("upgrade", self.role, reason, detail)
         self.received.put_nowait(None)
 
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import itertools
 import signal
@@ -59,6 +60,7 @@
 
 # Fraction of a cold server's limit that each of the two processes may use until the old one is asked to end.
 COLD_SHARE_DURING_UPGRADE = 0.5
+CHANNEL_CLOSE_TIMEOUT = 1.0  # s for the other process to read what was sent, and to close its side
 TAKE_TIMEOUT = 1.0  # s for the predecessor to stop accepting connections
 
 
@@ -194,6 +196,7 @@
         self.fleet_join_task: asyncio.Task[None] | None = None
         self.tier_join_task: asyncio.Task[None] | None = None
         self.pending_successors: dict[int, Channel] = {}
+        self.predecessor_gone = asyncio.Event()  # set when the last frame of the predecessor was handled
 
     def post(self, event: machine.Event) -> None:
         """Queue an event for the state machine."""
@@ -278,11 +281,37 @@
                 part.depart()
 
     async def _report_when_idle(self) -> None:
-        await self.dispatcher.idle.wait()
+        """Post AllCallsEnded once no call is left: neither an own one nor one that the predecessor owns.
+
+        The predecessor's answers reach its callers through the connections of this process.
+        """
+        await self._calls_ended()
+        if self.machine.upgrade_peer is machine.UpgradePeer.PREDECESSOR and self.channel is not None:
+            # The predecessor may be moving connections here. It stops at the end of the channel, and closes
+            # its side when all that it sent can be read.
+            self.channel.finish_sending()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHANNEL_CLOSE_TIMEOUT):
+                    await self.predecessor_gone.wait()
+            await self._calls_ended()
         if self.processor is not None:
             await self.processor.stop()
         self.post(machine.AllCallsEnded())
 
+    async def _calls_ended(self) -> None:
+        while not (
+            self.dispatcher.idle.is_set() and self.callers.client_connections.no_predecessor_calls.is_set()
+        ):
+            await self.dispatcher.idle.wait()
+            await self.callers.predecessor_calls_ended()
+
+    async def flush_channel(self) -> None:
+        """Wait until the other process of an upgrade can read all that was sent to it, or time is over."""
+        if self.channel is not None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CHANNEL_CLOSE_TIMEOUT):
+                    await self.channel.flushed.wait()
+
     # ---- upgrade ----------------------------------------------------------------------------------------
 
     def successor_connected(self, channel: Channel, hello: Hello) -> None:
@@ -343,6 +372,7 @@
                 log_event("upgrade", step="alone")
                 self.dispatcher.post(ColdShare(1.0))
                 self.callers.predecessor_gone()
+                self.predecessor_gone.set()
 
     def _yield_listener(self) -> None:
         assert self.channel is not None
@@ -561,6 +591,7 @@
     for host, port in callers.addresses():
         log_event("serving", name=config.name, address=f"{host}:{port}", servers=len(dispatcher.servers))
     await tasks[0]
+    await service.flush_channel()
     service.close()
     if control is not None:
         control.close()
--- a/tests/net/test_upgrade_crossings.py
+++ b/tests/net/test_upgrade_crossings.py
@@ -8,6 +8,7 @@
 import asyncio
 import signal
 import socket
+import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -16,6 +17,7 @@
 
 from martentide.codec.messages import Cause, Code, Message, Type, split, write_message, write_release
 from martentide.handover.wire import MovedLink
+from martentide.lifecycle.machine import FLUSH_PERIOD, LATE_ARRIVAL_PERIOD
 from martentide.net.callers import Callers
 from martentide.net.client_connections import ClientConnections
 from martentide.net.close_reason import CloseReason
@@ -291,3 +293,28 @@
                 caller.send(Type.TEST, B, {Code.CAUSE: b"\0"})
                 old.terminate()
             assert caller.receive().type == Type.TEST_RESULT
+
+
+@pytest.mark.parametrize("first", ["old", "new", "both"])
+def test_calls_are_answered_and_released_when_both_processes_are_terminated(
+    tmp_path: Path, first: str
+) -> None:
+    """Guards against a successor that ends under the calls whose answers come through it (review/9)."""
+    with Program(tmp_path, operated=True) as old:
+        caller, server = old.caller(), old.servers[0].accept()
+        caller.set_up(A, left=9000)
+        server.receive(Type.SET_UP)
+        server.send(PROGRESS, A)
+        with upgrade(old) as new:
+            for program in (new, old) if first == "new" else (old, new):
+                program.terminate()
+                if first != "both":
+                    program.logged("state=stopping")
+            time.sleep(LATE_ARRIVAL_PERIOD + 2 * FLUSH_PERIOD)  # in which a process without calls ends
+            server.send(Type.ANSWER, A, {Code.DESCRIPTION: b"x"})
+            assert caller.receive().type == Type.ANSWER
+            time.sleep(2 * FLUSH_PERIOD)
+            server.release(A, 16)
+            assert caller.receive(Type.RELEASE).cause() == 16
+            assert old.process.wait(TIMEOUT_S) == 0
+            assert new.process.wait(TIMEOUT_S) == 0
