Bound the work done for one client in one turn of the event loop

Cause: no bound for the fields of a message, for the items of a calling host in one turn, and for the dispatcher's backlog, which grew when a turn brought more than its 64 items; a log line for each invalid set-up; ended connections kept their buffers until a timer let go of them. Ruled out: the decisions; they took their usual time.

Change: 64 fields a message, 16 messages of a connection waiting, 16 items of a host a turn; the dispatcher handles what was there when its turn began; one bad-set-up line a second for each host (new field times=).

--- a/martentide/codec/messages.py
+++ b/martentide/codec/messages.py
@@ -16,6 +16,7 @@
 from martentide.codec import CodecError
 
 MAX_MESSAGE_BYTES = 16 * 1024  # of one message
+MAX_PARAMETERS = 64  # of one message; each is parsed before any other connection gets its turn
 HEAD = struct.Struct(">HB8s")
 PARAMETER = struct.Struct(">BH")
 ID_BYTES = 8
@@ -114,8 +115,11 @@
         raise CodecError(f"message too short: {len(body)} bytes")
     kind, call = body[0], body[1:MIN_LENGTH]
     parameters: dict[int, bytes] = {}
-    offset = MIN_LENGTH
+    offset, count = MIN_LENGTH, 0
     while offset < len(body):
+        count += 1
+        if count > MAX_PARAMETERS:
+            raise CodecError(f"more than {MAX_PARAMETERS} parameters")
         if offset + PARAMETER.size > len(body):
             raise CodecError("truncated parameter header")
         code, length = PARAMETER.unpack_from(body, offset)
--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import math
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -44,6 +46,8 @@
 MOVE_TIMEOUT = 1.0  # s within which a connection must become ready to move to the successor
 MOVE_POLL_INTERVAL = 0.005  # s between checks whether a connection is ready to move
 LISTEN_BACKLOG = 1024  # connections that may wait in the kernel to be accepted
+ITEMS_PER_TURN = 16  # items of one calling host handled before other tasks get their turn
+BAD_SET_UP_LOG_INTERVAL = 1.0  # s between log lines about invalid set-ups of one calling host
 INITIAL_WINDOW = 64  # open set-ups allowed on a connection, plus one for each of its calls that was answered
 PENDING_RELEASE_EXPIRY = 30.0  # s that a pending release is kept
 
@@ -164,6 +168,7 @@
         self.mailbox: asyncio.Queue[Item] = asyncio.Queue()
         self.links: dict[Link, int] = {}  # value: number of calls set up on the connection that were answered
         self.records: dict[bytes, CallRecord] = {}
+        self.bad_set_ups, self.bad_set_up_logged_at = 0, -math.inf  # since the last log line; its loop time
         self.predecessor_calls = 0  # number of records of calls that the predecessor owns
         self.pending_releases: dict[bytes, bytes] = {}  # release messages to write on the next connection
         self.task = self.loop.create_task(self._run(), name=f"calling host {host}")
@@ -173,7 +178,9 @@
         self.mailbox.put_nowait(item)
 
     async def _run(self) -> None:
-        while True:
+        for handled in itertools.count(1):
+            if handled % ITEMS_PER_TURN == 0:
+                await asyncio.sleep(0)  # no client's volume may delay the others
             item = await self.mailbox.get()
             try:
                 self._handle(item)
@@ -338,7 +345,7 @@
             )
         except (KeyError, CodecError) as error:
             # The message is well framed, so the connection stays open; only this call is rejected.
-            log_event("bad-set-up", party=self.host, call=message.call.hex(), detail=repr(str(error)))
+            self._log_bad_set_up(message.call, str(error))
             link.write(write_release(message.call, Cause.INVALID_CONTENTS))
             return
         if time_for_answer(offer.time_left) <= 0.0:
@@ -355,6 +362,15 @@
         self.client_connections.set_up_opened(link)
         self.notify_dispatcher(offer)
 
+    def _log_bad_set_up(self, call: bytes, detail: str) -> None:
+        """Log an invalid set-up; after a line, further ones are only counted for a while."""
+        self.bad_set_ups += 1
+        now = self.loop.time()
+        if now - self.bad_set_up_logged_at < BAD_SET_UP_LOG_INTERVAL:
+            return
+        log_event("bad-set-up", party=self.host, call=call.hex(), detail=repr(detail), times=self.bad_set_ups)
+        self.bad_set_up_logged_at, self.bad_set_ups = now, 0
+
     def _notify_owner(self, call: bytes, record: CallRecord) -> None:
         """Notify the owner of the call, dispatcher or predecessor, that the caller gave it up or ended it."""
         CALL_TRACE.step(call, CallStep.CALLER_LEFT, stands=record.stands, foreign=record.predecessor_owned)
--- a/martentide/net/dispatcher.py
+++ b/martentide/net/dispatcher.py
@@ -63,7 +63,6 @@
 
 MAX_STANDING_CALLS = 50_000  # new calls are refused above this
 MAX_REMEMBERED_IDS = 4096  # ids of recently answered calls; a set-up that repeats one is a duplicate
-ITEMS_PER_TURN = 64  # items handled before other tasks get their turn
 CLOCK_JUMP_THRESHOLD = 1_000.0  # ms; a larger difference of wall clock and monotonic clock counts as a jump
 OVERDUE_MARGIN = 10.0  # ms after the deadline of the decision module until the call fails as overdue
 ANSWER_MARGIN = 40.0  # ms before the caller's deadline by which a call must have its final answer
@@ -288,10 +287,15 @@
 
     async def run(self) -> None:
         """Handle the mailbox until cancelled."""
-        for handled in itertools.count():
-            if handled % ITEMS_PER_TURN == 0:
-                await asyncio.sleep(0)  # a full mailbox must not starve timers and connections
+        left_in_turn = 0
+        while True:
+            if left_in_turn == 0:
+                # Connections and timers get their turn after what had arrived by the last one. Less would let
+                # the mailbox grow, as each item may bring about several others.
+                await asyncio.sleep(0)
+                left_in_turn = max(1, self.mailbox.qsize())
             item = await self.mailbox.get()
+            left_in_turn -= 1
             try:
                 self._handle(item)
             except Exception:
--- a/martentide/net/links.py
+++ b/martentide/net/links.py
@@ -20,7 +20,7 @@
 from martentide.codec.messages import MAX_MESSAGE_BYTES, Message, read_message, read_type, split
 from martentide.net.close_reason import CloseReason, log_connection_closed
 
-MAX_UNPROCESSED = 64  # messages of one connection waiting in the mailbox at which it stops reading
+MAX_UNPROCESSED = 16  # messages of one connection waiting in the mailbox at which it stops reading
 MAX_UNSENT_BYTES = 256 * 1024  # buffered for a peer that does not read, before its connection is closed
 STALL_RECHECK = 0.01  # s more to read bytes that are already there when the time for a message runs out
 WRITE_TIMEOUT = 2.0  # s in which buffered bytes must have been sent, or the peer counts as blocked
@@ -168,6 +168,9 @@
         of the event loop.
         """
         self.close(self.read_loop_reason)
+        # Timers may still refer to this object for a while.
+        self.partial_message.clear()
+        self._buffered.clear()
         reason = self.close_reason or self.read_loop_reason
         log_connection_closed(
             self.role, self.peer, reason, self.read_loop_detail if reason is self.read_loop_reason else ""
