Count what callers' connections hold together against one memory budget

Cause: each connection's holdings were bounded one by one, their sum was not; one read of asyncio's transport buffers up to 256 KiB; descriptions were kept while calls stood. Ruled out: half-written messages alone (49 MB).

Change: memory_budget.py counts waiting messages, open set-ups and unsent bytes against a third of memory_mb less 48 MB; from half of it on each connection has an equal share. Reads take 16 KiB; a standing call keeps no description.

Not played: clients that do not read their answers; the memory that stays.

--- a/martentide/net/callers.py
+++ b/martentide/net/callers.py
@@ -34,6 +34,7 @@
 from martentide.net.dispatcher import GiveUp, Offer, ReleaseIn, time_for_answer
 from martentide.net.links import Link, LinkEnded, Received, Stalled
 from martentide.net.listeners import bind_socket
+from martentide.net.memory_budget import SET_UP_OVERHEAD_BYTES, MemoryBudget
 
 MAX_PENDING_RELEASES = 20_000  # releases kept for a calling host that has no connection
 ACCEPT_BATCH = 32  # maximum number of connections accepted in one turn of the event loop
@@ -64,6 +65,7 @@
     stands: bool = False
     predecessor_owned: bool = False
     moved: bool = False
+    size: int = 0  # bytes that its set-up holds while it is open
 
 
 @dataclass(frozen=True, slots=True)
@@ -254,6 +256,7 @@
             (reader, writer),
             self.post,
             self.client_connections.message_timeout,
+            memory=self.client_connections.open_account(),
         )
         self.post(Opened(link))
         self.client_connections.add(link, self.host)
@@ -264,7 +267,13 @@
         """Adopt a connection of the predecessor, with the part of a message that it had already read."""
         peer = f"{self.host}:{frame.port}"
         link = Link(
-            "caller", peer, (reader, writer), self.post, self.client_connections.message_timeout, frame.begun
+            "caller",
+            peer,
+            (reader, writer),
+            self.post,
+            self.client_connections.message_timeout,
+            frame.begun,
+            self.client_connections.open_account(),
         )
         self.post(MoveIn(frame, link))
         self.client_connections.add(link, self.host)
@@ -305,7 +314,7 @@
                     self._uncount_standing(record)
                     self._notify_owner(message.call, record)
                     if not record.stands and record.link is not None:
-                        self.client_connections.set_up_ended(record.link, answered=False)
+                        self.client_connections.set_up_ended(record.link, answered=False, size=record.size)
                     elif record.stands:
                         self.client_connections.mark_answered(link)
             case Type.TEST:
@@ -358,8 +367,12 @@
             # number of calls that were answered on it.
             link.write(write_release(message.call, Cause.CONGESTION))
             return
-        self._add_record(message.call, CallRecord(link))
-        self.client_connections.set_up_opened(link)
+        size = SET_UP_OVERHEAD_BYTES + sum(map(len, parts.values()))
+        if not self.client_connections.has_memory_for(link, size):
+            link.write(write_release(message.call, Cause.CONGESTION))
+            return
+        self._add_record(message.call, CallRecord(link, size=size))
+        self.client_connections.set_up_opened(link, size)
         self.notify_dispatcher(offer)
 
     def _log_bad_set_up(self, call: bytes, detail: str) -> None:
@@ -428,7 +441,7 @@
             self._notify_owner(item.call, record)
             return
         if not record.stands and record.link is not None:
-            self.client_connections.set_up_ended(record.link, answered=True)
+            self.client_connections.set_up_ended(record.link, answered=True, size=record.size)
         if item.stands and link is not None:
             record.stands = True
             self.links[link] += 1
@@ -569,14 +582,18 @@
 class Callers:
     """The callers' listener and the actors of all calling hosts; passes each connection to its host's actor.
 
-    ``max_connections`` is the number of descriptors that callers may use.
+    ``max_connections`` is the number of descriptors that callers may use, ``memory`` the bytes that their
+    connections may hold together.
     """
 
     def __init__(
-        self, max_connections: int, notify_dispatcher: Callable[[Offer | GiveUp | ReleaseIn], None]
+        self,
+        max_connections: int,
+        notify_dispatcher: Callable[[Offer | GiveUp | ReleaseIn], None],
+        memory: MemoryBudget,
     ) -> None:
         self.client_connections, self.notify_dispatcher, self.max_connections = (
-            ClientConnections(max_connections),
+            ClientConnections(max_connections, memory),
             notify_dispatcher,
             max_connections,
         )
--- a/martentide/net/client_connections.py
+++ b/martentide/net/client_connections.py
@@ -8,6 +8,7 @@
 from martentide.handover.wire import Left, MovedCalls, MovedLink, Said
 from martentide.net.close_reason import CloseReason
 from martentide.net.links import Link
+from martentide.net.memory_budget import MemoryAccount, MemoryBudget
 
 MUTE_TIMEOUT = 2.0  # s in which a new connection must have sent something that can be answered
 MUTE_RECHECK = 0.25  # s between checks of a mute connection that waits for an answer or a release
@@ -28,15 +29,17 @@
     A connection is mute until something on it was answered, busy while a set-up on it is open, and resting
     otherwise. A flood of connections that send nothing must not keep callers out: mute connections are closed
     after ``MUTE_TIMEOUT``. When descriptors run short, mute connections are closed earlier, the oldest first,
-    and then the connections that have been resting longest. ``max_connections`` is the number of descriptors.
+    and then the connections that have been resting longest. ``max_connections`` is the number of descriptors,
+    ``memory`` the budget of bytes that all connections share.
     """
 
-    def __init__(self, max_connections: int) -> None:
-        self.max_connections = max_connections
+    def __init__(self, max_connections: int, memory: MemoryBudget) -> None:
+        self.max_connections, self.memory = max_connections, memory
         self.loop = asyncio.get_running_loop()
         self.mute: dict[Link, None] = {}
         self.resting: dict[Link, None] = {}
         self.open_set_ups: dict[Link, int] = {}  # all connections, with the number of their open set-ups
+        self.set_up_bytes: dict[Link, int] = {}  # held by the open set-ups of the connection
         self.host_of: dict[Link, str] = {}
         self.hosts_with_calls: set[str] = set()  # calling hosts that have calls or pending releases
         self.hosts_with_predecessor_calls: set[str] = set()
@@ -59,6 +62,7 @@
 
     def add(self, link: Link, host: str) -> None:
         """Add a new connection; if there are too many now, close one, possibly the new one."""
+        self.set_up_bytes[link] = 0
         self.open_set_ups[link], self.standing_calls[link], self.host_of[link] = 0, 0, host
         self.mute[link] = None
         self.loop.call_later(MUTE_TIMEOUT, self._mute_timed_out, link)
@@ -118,21 +122,42 @@
     def remove(self, link: Link) -> None:
         """Forget a connection that is closed or is about to be."""
         self.open_set_ups.pop(link, None)
+        self.set_up_bytes.pop(link, None)
         self.standing_calls.pop(link, None)
         self.host_of.pop(link, None)
         self.mute.pop(link, None)
         self.resting.pop(link, None)
 
-    def set_up_opened(self, link: Link) -> None:
-        """Count a set-up that was opened on the connection."""
+    def open_account(self) -> MemoryAccount:
+        """Return the memory account of a new connection."""
+        return MemoryAccount(self.memory)
+
+    def has_memory_for(self, link: Link, size: int) -> bool:
+        """Return whether a set-up that holds ``size`` bytes may be opened, and count a refusal."""
+        # What waits to be processed doesn't count: it holds the memory of its own turn only.
+        held = self.set_up_bytes.get(link, 0)
+        if held == 0 or not self.memory.short or held + size <= self.memory.share:
+            return True
+        self.memory.note_refusal(self.loop.time())
+        return False
+
+    def _change_set_up_bytes(self, link: Link, by: int) -> None:
+        self.set_up_bytes[link] += by
+        if link.memory is not None:
+            link.memory.add(by)
+
+    def set_up_opened(self, link: Link, size: int = 0) -> None:
+        """Count a set-up that was opened on the connection and holds ``size`` bytes while it is open."""
         if link in self.open_set_ups:
             self.open_set_ups[link] += 1
+            self._change_set_up_bytes(link, size)
             self.resting.pop(link, None)
 
-    def set_up_ended(self, link: Link, answered: bool) -> None:
+    def set_up_ended(self, link: Link, answered: bool, size: int = 0) -> None:
         """Count a set-up that is no longer open; ``answered``: the caller got a final message for it."""
         if link in self.open_set_ups:
             self.open_set_ups[link] -= 1
+            self._change_set_up_bytes(link, -size)
             if link.stalled:
                 # Only after the final message, which is about to be written, may the connection close.
                 self.loop.call_soon(self.close_if_stalled, link)
--- a/martentide/net/config.py
+++ b/martentide/net/config.py
@@ -48,6 +48,7 @@
     board: Address
     seed: int
     sockets: int
+    memory_mb: float
     known_number: int
     known: tuple[Notice, ...]
     settings: Settings
@@ -134,6 +135,7 @@
             operator=read_address(raw["operator"], "operator") if raw.get("operator") else None,
             seed=int(str(raw["seed"]), 16),
             sockets=int(raw["limits"]["sockets"]),
+            memory_mb=float(raw["limits"]["memory_mb"]),
             known_number=number,
             known=tuple(known),
             settings=settings,
--- a/martentide/net/dispatcher.py
+++ b/martentide/net/dispatcher.py
@@ -11,7 +11,7 @@
 import itertools
 from collections import Counter, OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, ClassVar, Protocol
 
 from martentide.attempt_messages import (
@@ -561,6 +561,7 @@
         if call is None or call.closed or call.stands or call.current_attempt != item.attempt:
             return  # the caller has left: the Withdraw on its way to the carrier ends the call at the server
         call.stands = True
+        call.offer = replace(call.offer, number=b"", description=b"")  # no further attempt needs them
         self.open_calls -= 1
         call.overdue_timer.cancel()
         call.offer.caller.answer(call.offer.call, item.description)
--- a/martentide/net/links.py
+++ b/martentide/net/links.py
@@ -19,8 +19,10 @@
 from martentide.codec import CodecError
 from martentide.codec.messages import MAX_MESSAGE_BYTES, Message, read_message, read_type, split
 from martentide.net.close_reason import CloseReason, log_connection_closed
+from martentide.net.memory_budget import MemoryAccount
 
 MAX_UNPROCESSED = 16  # messages of one connection waiting in the mailbox at which it stops reading
+MEMORY_RECHECK = 0.01  # s between checks whether there is memory for the next message
 MAX_UNSENT_BYTES = 256 * 1024  # buffered for a peer that does not read, before its connection is closed
 STALL_RECHECK = 0.01  # s more to read bytes that are already there when the time for a message runs out
 WRITE_TIMEOUT = 2.0  # s in which buffered bytes must have been sent, or the peer counts as blocked
@@ -64,8 +66,9 @@
 
     A message should be complete within ``message_timeout`` s. If one is not, ``Stalled`` is posted once for
     it, and the connection is read on until its owner closes it. ``partial_message`` holds the bytes of a
-    message that another process has already read. Also implements attempt_messages.Client for callers'
-    connections.
+    message that another process has already read. ``memory`` is charged for messages that wait to be
+    processed and for unsent bytes, each of which is bounded by itself too. Also implements
+    attempt_messages.Client for callers' connections.
     """
 
     def __init__(
@@ -76,12 +79,17 @@
         post: Callable[[Received | Stalled | LinkEnded], None],
         message_timeout: float,
         partial_message: bytes = b"",
+        memory: MemoryAccount | None = None,
     ) -> None:
         self.role, self.peer, self.post, self.message_timeout = role, peer, post, message_timeout
         self.reader, self.writer = streams
         self.loop = asyncio.get_running_loop()
         self.opened_at = self.last_received_at = self.last_byte_at = self.loop.time()
         self.close_reason: CloseReason | None = None
+        self.memory = memory
+        # One read of asyncio's transport would otherwise buffer up to 256 KiB.
+        self.writer.transport.max_size = MAX_MESSAGE_BYTES  # type: ignore[attr-defined]
+        self.unsent_charged = 0  # bytes charged to ``memory`` for unsent output
         self.read_credit = asyncio.Semaphore(MAX_UNPROCESSED)
         self.partial_message = bytearray(partial_message)  # bytes of an incomplete message
         # Loop time at which its first byte was read; None if there is none.
@@ -90,6 +98,7 @@
         self.stalled = False  # whether ``partial_message`` was not complete in time
         self.splitting = False  # whether ``partial_message`` may hold complete messages
         self.message_ends: deque[int] = deque()  # byte offsets of the ends of unprocessed messages
+        self.message_sizes: deque[int] = deque()  # their sizes in bytes
         self.processed_bytes = 0
         # Byte offsets, with a callback for each that is called once the input up to it was processed.
         self.processed_callbacks: deque[tuple[int, Callable[[], None]]] = deque()
@@ -152,7 +161,9 @@
                 self.last_received_at, self.partial_since, self.stalled = now, None, False
                 message = read_message(body)
                 self.message_ends.append(self.read_bytes - len(partial))
+                self.message_sizes.append(len(body))
                 await self.read_credit.acquire()
+                await self._take_memory(len(body))
                 self.post(Received(self, message, received_at, duration))
             self.splitting = False
             self._notify_processed()
@@ -161,6 +172,17 @@
             elif self.partial_since is None:
                 self.partial_since = now
 
+    async def _take_memory(self, size: int) -> None:
+        """Wait until a message of that size may be held, and charge it.
+
+        The wait ends, as the messages that this connection already holds are processed meanwhile.
+        """
+        if self.memory is None:
+            return
+        while not self.memory.may_take(size) and len(self.message_sizes) > 1:
+            await asyncio.sleep(MEMORY_RECHECK)
+        self.memory.add(size)
+
     def _read_loop_ended(self, _: asyncio.Task[None]) -> None:
         """End the connection, also if the read loop was cancelled before its first step.
 
@@ -171,6 +193,8 @@
         # Timers may still refer to this object for a while.
         self.partial_message.clear()
         self._buffered.clear()
+        if self.memory is not None:
+            self.memory.close()
         reason = self.close_reason or self.read_loop_reason
         log_connection_closed(
             self.role, self.peer, reason, self.read_loop_detail if reason is self.read_loop_reason else ""
@@ -185,6 +209,9 @@
     def message_processed(self) -> None:
         """Note that the actor has processed the oldest unprocessed message."""
         self.processed_bytes = self.message_ends.popleft()
+        size = self.message_sizes.popleft()
+        if self.memory is not None:
+            self.memory.add(-size)
         self.read_credit.release()
         self._notify_processed()
 
@@ -288,11 +315,22 @@
         if not self.alive or self.writer.is_closing():
             return
         self.writer.write(data)
-        if self.writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+        if self._has_too_much_unsent():
             self.close(CloseReason.BLOCKED)
         elif self.blocked and self.write_timer is None:
             self.write_timer = self.loop.call_later(WRITE_TIMEOUT, self._write_timed_out)
 
+    def _has_too_much_unsent(self) -> bool:
+        """Return whether the unsent bytes exceed their limit, or the share of the memory if it is short."""
+        unsent = self.writer.transport.get_write_buffer_size()
+        if self.memory is None:
+            return unsent > MAX_UNSENT_BYTES
+        self.memory.add(unsent - self.unsent_charged)
+        self.unsent_charged = unsent
+        budget = self.memory.budget
+        short = budget.short and unsent > max(MAX_MESSAGE_BYTES, budget.share)
+        return unsent > MAX_UNSENT_BYTES or short
+
     def _write_timed_out(self) -> None:
         self.write_timer = None
         if self.blocked:
--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -11,7 +11,7 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import ClassVar
 
 from martentide.attempt_messages import ClientLeft, Ended, InputProcessed, Order, Presence, Stood, Withdraw
@@ -457,6 +457,7 @@
             self._end_attempt(attempt, Ending.CUT)
             return
         attempt.stands = True
+        attempt.order = replace(attempt.order, number=b"", description=b"")  # they are not sent again
         self.recovery.stood(message.call, link)
         attempt.timer.cancel()
         if attempt.suspect_timer is not None:
--- a/martentide/net/service.py
+++ b/martentide/net/service.py
@@ -48,6 +48,7 @@
     find_predecessor,
     handover_socket_path,
 )
+from martentide.net.memory_budget import MemoryBudget, budget_bytes
 from martentide.net.servers import Server
 from martentide.rules import Controller
 
@@ -544,6 +545,7 @@
     callers = Callers(
         descriptors.caller_limit(descriptor_limit, known_servers, config.operator is not None),
         dispatcher.post,
+        MemoryBudget(budget_bytes(config.memory_mb)),
     )
     shortage = descriptors.DescriptorShortage(callers.make_room)
     loop.set_exception_handler(shortage.handle)
--- a/tests/net/greedy_client.py
+++ b/tests/net/greedy_client.py
@@ -16,21 +16,25 @@
 from tests.net.support import parameters_of
 
 ADDRESS = "127.0.0.2"  # other callers come from another one
+LARGE = bytes(16_000)  # description that nearly fills a message
 FIELDS = 5400  # empty fields of one message, which nearly fill it
 SET_UPS = 50  # set-ups written at once
 NUMBERS_PER_CONNECTION = 1_000_000
 
 
 def messages(kind: str, number: int) -> bytes:
-    """Return the next bytes to send: messages with very many fields, or withdrawn or invalid set-ups."""
+    """Return the next bytes to send: very many fields, or large, withdrawn, invalid or usual set-ups."""
     if kind == "fields":
         body = bytes((Type.SET_UP,)) + number.to_bytes(8, "big") + b"\xc8\0\0" * FIELDS
         return len(body).to_bytes(2, "big") + body
+    if kind == "large":
+        parameters = {**parameters_of(3000), Code.DESCRIPTION: LARGE}
+        return write_message(Type.SET_UP, number.to_bytes(8, "big"), parameters)
     data = b""
     for call in range(number * SET_UPS, (number + 1) * SET_UPS):
         call_id = call.to_bytes(8, "big")
-        parameters: dict[int, bytes] = {Code.TIME_LEFT: b"x"} if kind == "invalid" else parameters_of(3000)
-        data += write_message(Type.SET_UP, call_id, parameters)
+        invalid: dict[int, bytes] = {Code.TIME_LEFT: b"x"}
+        data += write_message(Type.SET_UP, call_id, invalid if kind == "invalid" else parameters_of(3000))
         if kind == "withdrawn":
             data += write_release(call_id, Cause.NORMAL)
     return data
--- a/tests/net/support.py
+++ b/tests/net/support.py
@@ -187,6 +187,7 @@
         arguments: tuple[str, ...] = (),
         sockets: int = 64,
         descriptors: int | None = None,
+        memory_mb: int = 192,
         **limits: Any,
     ) -> None:
         self.servers = [Listener() for _ in range(servers)]
@@ -202,7 +203,7 @@
                     "name": "n0",
                     "listen": "127.0.0.1:0",
                     "seed": "8c1f30d27a5be964",
-                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+                    "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
                     "board": f"127.0.0.1:{self.discovery.port}",
                     **({"operator": "127.0.0.1:0"} if operated else {}),
                     "known": {
--- a/tests/net/test_callers.py
+++ b/tests/net/test_callers.py
@@ -14,6 +14,7 @@
 from martentide.net.config import Address
 from martentide.net.dispatcher import GiveUp, Offer, ReleaseIn
 from martentide.net.links import Link
+from martentide.net.memory_budget import BYTES_PER_MB, MemoryBudget
 from tests.net.support import TIMEOUT_S, parameters_of
 
 A, B = b"\xa1" * 8, b"\xb2" * 8
@@ -27,7 +28,7 @@
 
     def __init__(self) -> None:
         self.posted: asyncio.Queue[Offer | GiveUp | ReleaseIn] = asyncio.Queue()
-        self.callers = Callers(32, self.posted.put_nowait)
+        self.callers = Callers(32, self.posted.put_nowait, MemoryBudget(BYTES_PER_MB))
 
     @asynccontextmanager
     async def connected(self) -> AsyncIterator[None]:
--- a/tests/net/test_greedy_clients.py
+++ b/tests/net/test_greedy_clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import subprocess
 import sys
 import time
@@ -14,6 +15,7 @@
 
 from martentide.codec import CodecError
 from martentide.codec.messages import MAX_PARAMETERS, Code, Message, Type, read_message, write_release
+from martentide.net.memory_budget import MemoryAccount, MemoryBudget
 from tests.net.support import ROOT, SETTINGS, Program, Wire
 
 AIM_S = SETTINGS["classes"][0]["aim_ms"] / 1000.0  # in which calls of the class want their answer
@@ -88,6 +90,21 @@
         assert max(seconds for _, seconds in answers) < AIM_S
 
 
+def test_usual_callers_keep_their_places_beside_a_flood_of_set_ups(tmp_path: Path) -> None:
+    """Guards against set-ups in number that take the places of callers at another address."""
+    with Program(tmp_path, max_open=20_000) as program:
+        Thread(target=serve_all, args=(program,), daemon=True).start()
+        caller = program.caller()
+        assert call_once(caller, 0)[0].type == Type.ANSWER
+        answers: list[tuple[Message, float]] = []
+        with greedy_client(program, "set-ups", 1):
+            end = time.monotonic() + GREEDY_S
+            while time.monotonic() < end:
+                answers.append(call_once(caller, len(answers) + 1))
+                time.sleep(PAUSE_S)
+        assert [message.type for message, _ in answers] == [Type.ANSWER] * len(answers)
+
+
 def test_a_message_of_very_many_fields_is_not_parsed() -> None:
     """Guards against one message whose fields take long to parse."""
     body = write_release(bytes(8), 16)[2:]
@@ -95,3 +112,40 @@
     assert read_message(body + fields).cause() == 16
     with pytest.raises(CodecError):
         read_message(body + fields + b"\xc8\0\0")
+
+
+def peak_memory_mb(program: Program) -> float:
+    """Return the largest resident memory that the process has had, in MB."""
+    status = Path(f"/proc/{program.process.pid}/status").read_text()
+    return int(re.search(r"VmHWM:\s+(\d+) kB", status).group(1)) / 1024.0  # type: ignore[union-attr]
+
+
+@pytest.mark.parametrize(("memory_mb", "sockets"), [(32, 256), (96, 1024), (192, 1024)])
+def test_memory_stays_within_its_limit_beside_clients_with_large_set_ups(
+    tmp_path: Path, memory_mb: int, sockets: int
+) -> None:
+    """Guards against many connections that each stay within their own limits, but not their sum."""
+    with Program(tmp_path, max_open=20_000, sockets=sockets, memory_mb=memory_mb) as program:
+        Thread(target=serve_all, args=(program,), daemon=True).start()
+        caller = program.caller()
+        with greedy_client(program, "large", sockets // 3):
+            end = time.monotonic() + GREEDY_S
+            number = 0
+            while time.monotonic() < end:
+                call_once(caller, number := number + 1)  # answered or refused, but never left alone
+                time.sleep(PAUSE_S)
+        assert peak_memory_mb(program) < memory_mb
+
+
+def test_a_connection_keeps_its_share_when_others_have_used_up_what_is_common() -> None:
+    """Guards against one connection that takes the room of all others."""
+    budget = MemoryBudget(1000)
+    greedy, usual = MemoryAccount(budget), MemoryAccount(budget)
+    while greedy.may_take(100):
+        greedy.add(100)
+    assert greedy.held == 500
+    assert usual.may_take(200)
+    usual.add(200)
+    assert usual.may_take(50) and not usual.may_take(51)
+    greedy.close()
+    assert budget.held == 200 and usual.may_take(300)
--- a/tests/net/test_logged_names.py
+++ b/tests/net/test_logged_names.py
@@ -15,6 +15,7 @@
 from martentide.net.client_connections import ClientConnections
 from martentide.net.close_reason import logged_name
 from martentide.net.fleet import member
+from martentide.net.memory_budget import BYTES_PER_MB, MemoryBudget
 from martentide.rules import Controller
 from martentide.settings import settings_from
 from tests.net.support import SETTINGS
@@ -137,7 +138,9 @@
 
 def test_calling_host_logs_the_former_name(log: LogRecorder) -> None:
     async def run() -> None:
-        actor = callers.CallingHost("192.0.2.1", do_nothing, do_nothing, ClientConnections(1))
+        actor = callers.CallingHost(
+            "192.0.2.1", do_nothing, do_nothing, ClientConnections(1, MemoryBudget(BYTES_PER_MB))
+        )
         actor.post(callers.MessageToCaller(CALL, b""))
         await wait_for_lines(log, 1)
         actor.task.cancel()
--- a/tests/net/test_upgrade.py
+++ b/tests/net/test_upgrade.py
@@ -18,6 +18,7 @@
 from martentide.net.callers import MIN_CALLER_CONNECTIONS, Callers
 from martentide.net.config import Address
 from martentide.net.handover import MAX_RECEIVED_FRAMES, Channel
+from martentide.net.memory_budget import BYTES_PER_MB, MemoryBudget
 from tests.net.support import ROOT, TIMEOUT_S, Program, Wire
 from tests.net.test_rules_on_sockets import A, B, set_up_call
 
@@ -209,7 +210,7 @@
 
 def test_both_processes_share_one_limit_of_descriptors() -> None:
     async def scenario() -> None:
-        callers = Callers(100, lambda item: None)
+        callers = Callers(100, lambda item: None, MemoryBudget(BYTES_PER_MB))
         callers.share_with_predecessor(lambda left: None, 70)
         assert callers.client_connections.max_connections == 30
         callers.share_with_predecessor(lambda left: None, 99)
@@ -223,7 +224,7 @@
 def test_connection_accepted_in_the_loop_iteration_of_the_yield_is_not_reset() -> None:
     async def scenario() -> None:
         offers: list[object] = []
-        callers = Callers(100, offers.append)
+        callers = Callers(100, offers.append, MemoryBudget(BYTES_PER_MB))
         callers.bind(Address("127.0.0.1", 0))
         await callers.accept()
         assert callers.server is not None
--- a/tests/net/test_upgrade_crossings.py
+++ b/tests/net/test_upgrade_crossings.py
@@ -23,6 +23,7 @@
 from martentide.net.close_reason import CloseReason
 from martentide.net.dispatcher import ANSWER_MARGIN
 from martentide.net.links import Link
+from martentide.net.memory_budget import BYTES_PER_MB, MemoryBudget
 from tests.net.support import TIMEOUT_S, Program, Wire
 from tests.net.test_gone_clients import WAYS_TO_LEAVE, A, B
 from tests.net.test_rules_on_sockets import set_up_call
@@ -135,7 +136,7 @@
     async def __aenter__(self) -> MovingClient:
         self.posted: list[object] = []
         self.moved_frames: list[MovedLink] = []
-        self.callers = Callers(16, self.posted.append)
+        self.callers = Callers(16, self.posted.append, MemoryBudget(BYTES_PER_MB))
         accepted: asyncio.Future[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = asyncio.Future()
         self.server = await asyncio.start_server(
             lambda *streams: accepted.set_result(streams), "127.0.0.1", 0
