--- a/tests/net/test_discovery.py
+++ b/tests/net/test_discovery.py
@@ -75,3 +75,49 @@
 
     asyncio.run(scenario())
     assert [error.errno for error in reported[:2]] == [errno.EMFILE] * 2
+
+
+def test_notices_that_take_long_to_arrive_are_read(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a list that is never read because each connection closes before its frames come.
+
+    All times are shortened by the same factor; the service answers each connection only after the time in
+    which another one is opened (review/10).
+    """
+    monkeypatch.setattr("martentide.net.discovery.SILENCE_TIMEOUT", 0.22)
+    monkeypatch.setattr("martentide.net.discovery.MAX_SILENCE", 0.70)
+    notices: list[int] = []
+
+    async def scenario() -> None:
+        opened = 0
+
+        async def late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal opened
+            opened += 1
+            try:
+                await reader.readexactly(8)
+                for number in (2, 3):
+                    await asyncio.sleep(0.3)
+                    writer.write(frame(number, 2))
+                await reader.read()  # until the client closes
+            finally:
+                writer.close()
+
+        server = await asyncio.start_server(late, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        client = DiscoveryClient(
+            Address(host, port), 1, ("east",), 5.0, lambda notice: notices.append(notice.number)
+        )
+        task = asyncio.create_task(client.run())
+        async with asyncio.timeout(5.0):
+            while len(notices) < 2:
+                await asyncio.sleep(0.01)
+        assert opened <= 3
+        connections = list(client.connections.values())
+        assert len(connections) <= 2
+        for ended in (task, *connections):
+            ended.cancel()
+        await asyncio.gather(task, *connections, return_exceptions=True)
+        server.close()
+
+    asyncio.run(scenario())
+    assert notices == [2, 3]
