Take a server as gone once a later one is listed at its address

Cause: the list knew servers by name; nothing compared their addresses. Ruled out: the decisions, which know no address.

Change: address_reuse.py (pure) marks a server gone whose address belongs to one with a later start, in each notice, so that a late word about the old one does not bring it back.

--- a/martentide/net/dispatcher.py
+++ b/martentide/net/dispatcher.py
@@ -54,6 +54,7 @@
     TestDuty,
     TimerDue,
 )
+from martentide.net.address_reuse import mark_replaced, marked_gone
 from martentide.net.close_reason import LOG, log_event, logged_name
 from martentide.net.links import unix_ms
 from martentide.rules import Controller
@@ -602,6 +603,7 @@
         """
         if self.merge_lists is not None:
             notice = self.merge_lists(notice)
+        notice = mark_replaced(notice, self.listed)
         received = {listed.entry.name: listed for listed in notice.servers}
         changed = dict(received)
         if notice.whole:
@@ -627,10 +629,3 @@
         self._feed(
             ServerList(kind, self._effective_entries(tuple(listed.entry for listed in notice.servers)))
         )
-
-
-def marked_gone(listed: Listed) -> Listed:
-    """Return the entry of the same server in state GONE, for a server that a complete list leaves out."""
-    entry = listed.entry
-    gone = type(entry)(entry.name, entry.place, entry.zone, ServerState.GONE, entry.started, entry.size)
-    return Listed(gone, listed.host, listed.port)
--- a/tests/net/test_crossings.py
+++ b/tests/net/test_crossings.py
@@ -149,6 +149,21 @@
         set_up_call(caller, new, B)
 
 
+def test_a_server_is_gone_once_a_later_one_has_its_address(tmp_path: Path) -> None:
+    """Guards against work for a server that reaches the one that came up at its address."""
+    with Program(tmp_path) as program:
+        discovery, old, caller = program.discovery.accept(), program.servers[0].accept(), program.caller()
+        set_up_call(caller, old, A)
+        port, started = program.servers[0].port, int((time.time() - 60.0) * 1000)
+        discovery.sock.sendall(frame(2, 2, (1, port, READY), started=started))
+        assert (cut := caller.receive(Type.RELEASE)).call == A and cut.cause() == 41
+        assert old.closed()
+        discovery.sock.sendall(frame(3, 2, (0, port, READY)))  # a late word about the old one changes nothing
+        program.logged("server-listed server=s-00000000 state=gone number=3")
+        new = program.servers[0].accept()
+        set_up_call(caller, new, B)
+
+
 def test_set_up_waiting_for_a_dial_goes_elsewhere_when_its_server_drains(tmp_path: Path) -> None:
     """The set-up waits for a dial to its server when the drain is announced, and goes to another server."""
     full, other = Listener(backlog=0), Listener()
