Give back the memory charged for unsent bytes once they are sent

Cause, found by reading the previous change: what a connection has unsent was charged at each write only, so bytes that the peer had read since stayed charged until the next write, and the budget could stay short for all callers.

Change: the write timer, which runs whenever bytes are left unsent, charges what is left then. Result: the new test of tests/net/test_links.py passes, and fails without the change.

--- a/martentide/net/links.py
+++ b/martentide/net/links.py
@@ -322,17 +322,24 @@
 
     def _has_too_much_unsent(self) -> bool:
         """Return whether the unsent bytes exceed their limit, or the share of the memory if it is short."""
-        unsent = self.writer.transport.get_write_buffer_size()
+        unsent = self._charge_unsent()
         if self.memory is None:
             return unsent > MAX_UNSENT_BYTES
-        self.memory.add(unsent - self.unsent_charged)
-        self.unsent_charged = unsent
         budget = self.memory.budget
         short = budget.short and unsent > max(MAX_MESSAGE_BYTES, budget.share)
         return unsent > MAX_UNSENT_BYTES or short
 
+    def _charge_unsent(self) -> int:
+        """Charge the bytes that are unsent now, and return their number."""
+        unsent: int = self.writer.transport.get_write_buffer_size()
+        if self.memory is not None:
+            self.memory.add(unsent - self.unsent_charged)
+            self.unsent_charged = unsent
+        return unsent
+
     def _write_timed_out(self) -> None:
         self.write_timer = None
+        self._charge_unsent()
         if self.blocked:
             self.close(CloseReason.BLOCKED)
 
--- a/tests/net/test_links.py
+++ b/tests/net/test_links.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 
 from martentide.attempt_messages import Presence
 from martentide.codec.messages import Type, write_message
 from martentide.net.links import MAX_UNPROCESSED, Link, LinkEnded, Received, Stalled
+from martentide.net.memory_budget import BYTES_PER_MB, MemoryAccount, MemoryBudget
 
 TEST = write_message(Type.TEST, b"\xa1" * 8)
 
@@ -90,3 +92,24 @@
             assert calls and peer.link.check_presence() is Presence.PRESENT
 
     asyncio.run(run())
+
+
+def test_unsent_bytes_are_charged_only_while_they_are_unsent(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against memory that stays charged for output that the peer has read long since."""
+    monkeypatch.setattr("martentide.net.links.WRITE_TIMEOUT", 1.0)
+    output = bytes(200_000)  # more than the sockets' buffers hold, less than MAX_UNSENT_BYTES
+
+    async def scenario() -> None:
+        async with ConnectionPair() as peer:
+            peer.link.memory = account = MemoryAccount(MemoryBudget(100 * BYTES_PER_MB))
+            sending = peer.link.writer.get_extra_info("socket")
+            sending.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            peer.link.write(output)
+            assert account.held > 0
+            await peer.reader.readexactly(len(output))
+            async with asyncio.timeout(5.0):
+                while account.held:
+                    await asyncio.sleep(0.01)
+            assert peer.link.alive
+
+    asyncio.run(scenario())
