--- a/martentide/net/server_connection.py
+++ b/martentide/net/server_connection.py
@@ -47,7 +47,7 @@
         return self.link.last_received_at > max(time, self.link.opened_at)
 
     def keepalive_due_at(self) -> float:
-        """Return when a keepalive has to be sent, if the connection carries standing calls."""
+        """Return when a keepalive has to be sent, if the connection is watched."""
         return self.link.last_received_at + KEEPALIVE_IDLE
 
     def keepalive_unanswered(self, now: float) -> bool:
@@ -73,11 +73,11 @@
             return None
         return min(self.link.last_byte_at + progress_timeout, self.link.partial_since + MAX_MESSAGE_DURATION)
 
-    def next_check_at(self, carries_calls: bool, progress_timeout: float) -> float | None:
-        """Return when this connection has to be checked next, or None."""
+    def next_check_at(self, watched: bool, progress_timeout: float) -> float | None:
+        """Return when this connection has to be checked next, or None; ``watched``: it needs keepalives."""
         times = [self.message_deadline(progress_timeout), self._silent_at()]
         if self.keepalive_sent_at is not None and not self.suspect:
             times.append(self.keepalive_sent_at + KEEPALIVE_SUSPECT)
-        elif self.keepalive_sent_at is None and carries_calls:
+        elif self.keepalive_sent_at is None and watched:
             times.append(self.keepalive_due_at())
         return min((time for time in times if time is not None), default=None)
--- a/martentide/net/servers.py
+++ b/martentide/net/servers.py
@@ -730,9 +730,9 @@
     def _schedule_check(self, postponed: bool = False) -> None:
         """Schedule the next liveness check for the earliest time at which something can be due."""
         now, timeout = self.loop.time(), self.progress_timeout.seconds
-        carrying = self._carrying_connections()
+        watched = self._watched_connections()
         times = [
-            connection.next_check_at(connection in carrying, timeout)
+            connection.next_check_at(connection in watched, timeout)
             for connection in self.connections
             if connection.link.alive
         ]
@@ -746,12 +746,21 @@
         self.check_due_at = due_at
         self.check_timer = self.loop.call_at(due_at, self.post, LivenessCheckDue())
 
-    def _carrying_connections(self) -> list[ServerConnection]:
-        """Return the connections on which the release of a standing call may come."""
+    def _watched_connections(self) -> list[ServerConnection]:
+        """Return the connections that need keepalives.
+
+        They are those on which the release of a standing call may come, and suspect ones beside a connection
+        that works, which would stay open for ever if they were dead.
+        """
         links = self.recovery.carrying()
         if None in links:  # a call without a connection of its own may be released on any
             return list(self.connections)
-        return [connection for connection in self.connections if connection.link in links]
+        one_works = any(not connection.suspect for connection in self.connections)
+        return [
+            connection
+            for connection in self.connections
+            if connection.link in links or (connection.suspect and one_works)
+        ]
 
     def _close_broken_connections(self) -> None:
         """Close connections whose keepalive was not answered, or whose message has broken off.
@@ -782,7 +791,7 @@
         silent.link.close(CloseReason.SILENT)
 
     def _send_keepalives(self) -> None:
-        """Send keepalives on the connections that carry standing calls and were silent for a while.
+        """Send keepalives on the watched connections that were silent for a while.
 
         When one is not answered soon, they go out on all connections: that shows whether the server lives.
         """
@@ -790,7 +799,7 @@
         unanswered = [one for one in self.connections if one.keepalive_unanswered(now)]
         for connection in unanswered:
             self._mark_suspect(connection.link, connection.keepalive_sent_at or 0.0)
-        due = self.connections if unanswered else self._carrying_connections()
+        due = self.connections if unanswered else self._watched_connections()
         for connection in due:
             if not connection.link.alive or connection.keepalive_sent_at is not None:
                 continue
--- a/tests/net/test_server_liveness.py
+++ b/tests/net/test_server_liveness.py
@@ -61,6 +61,18 @@
         assert time.monotonic() - ended < RELEASED_WITHIN_S
 
 
+def test_a_silent_connection_without_calls_is_closed_beside_a_working_one(tmp_path: Path) -> None:
+    """Guards against dead connections that stay open for ever."""
+    with Program(tmp_path) as program:
+        caller, silent = program.caller(), program.servers[0].accept()
+        caller.set_up(A, left=400)
+        assert caller.receive().call == A  # failed, because the connection is silent
+        other = program.servers[0].accept()
+        other.sock.sendall(STATE)
+        with answering(other):
+            assert silent.closed()
+
+
 def test_calls_on_a_silent_connection_end_in_time_if_nothing_shows_their_server_lives(tmp_path: Path) -> None:
     """Guards against taking a process that came up at the address for the one that held the calls."""
     with Program(tmp_path) as program:
